--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -6,11 +6,11 @@
 import concurrent.futures
 import contextlib
 import random
-import time
 import typing as t
 
 import eliot
 
+from skylarkcleat import clock as clock_lib
 from skylarkcleat.consensus import context as context_lib
 from skylarkcleat.consensus import counts as counts_lib
 from skylarkcleat.consensus import entry as entry_lib
@@ -99,6 +99,35 @@
         """What this replica sent and stored since it started."""
         return counts_lib.create_counts(self._links, self._storage)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether this replica has never been in a cluster."""
+        return self._replica.context.snapshot is None
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this replica leads, and no other can lead by now."""
+        now = clock_lib.read_monotonic()
+        return not self._failed.done() and self._replica.is_leading(now)
+
+    def find_silence(self, name: str) -> float:
+        """Returns how long a replica has not answered this leader, in s."""
+        return self._replica.find_silence(name, clock_lib.read_monotonic())
+
+    def meet(self, name: str, address: str) -> None:
+        """Takes in a replica that was found while this one runs.
+
+        Args:
+            name: Its name.
+            address: The `tcp://ip:port` on which it receives.
+        """
+        self._links.add_peer(name, address)
+        self._replica.meet(name)
+
+    def found(self, founders: t.Iterable[str]) -> None:
+        """Lets this empty replica found a cluster with other empty ones."""
+        self._replica.found(founders)
+
     async def propose(self, command: bytes) -> _Answer:
         """Proposes a command and waits until it is committed and applied."""
         future = asyncio.get_running_loop().create_future()
@@ -125,6 +154,11 @@
                 self.leader, f"no majority answered within {timeout} s"
             )
 
+    async def resign(self) -> None:
+        """Hands the leadership to another replica, if this one leads."""
+        if not self._failed.done():
+            await self._hand_over()
+
     async def wait(self) -> None:
         """Waits until the replica fails, and raises why."""
         await asyncio.shield(self._failed)
@@ -157,12 +191,12 @@
             settings.founding and self._storage.founding,
             settings.limits,
             self._random,
-            time.monotonic(),
+            clock_lib.read_monotonic(),
         )
         self._links = links_lib.Links(
             settings.name, settings.bind, settings.peers, self._receive
         )
-        if settings.peers:
+        if settings.peers or settings.is_open:
             await stack.enter_async_context(self._links)
 
     async def _hand_over(self) -> None:
@@ -228,7 +262,7 @@
             self._links.send(envelope)
 
     def _handle(self, event: event_lib.Event) -> None:
-        now = time.monotonic()
+        now = clock_lib.read_monotonic()
         if isinstance(event, message_lib.Envelope):
             self._replica.receive(event, now)
         elif isinstance(event, event_lib.Tick):
--- a/src/skylarkcleat/consensus/joining.py
+++ b/src/skylarkcleat/consensus/joining.py
@@ -34,10 +34,20 @@
     ) -> None:
         self._context = context
         self._names = frozenset(names)
+        self._founders = self._names
         self._founding = founding
         self._announced_at = float("-inf")
         self._empty: dict[str, tuple[identity_lib.Identity, float]] = {}
 
+    def meet(self, name: str) -> None:
+        """Lets a replica that was found while running join."""
+        self._names |= {name}
+
+    def found(self, founders: t.Iterable[str]) -> None:
+        """Lets this replica found a cluster with others that are empty."""
+        self._founders = frozenset(founders)
+        self._founding = True
+
     def announce(self, following: following_lib.Following) -> None:
         """Announces an empty replica, or founds a cluster."""
         context = self._context
@@ -142,14 +152,14 @@
     def _may_found(self) -> bool:
         context = self._context
         recent = context.now - 4 * context.limits.announce_s
-        others = self._names - {context.identity.name}
+        others = self._founders - {context.identity.name}
         heard = {n for n, (_, at) in self._empty.items() if at >= recent}
-        return heard >= others and context.identity.name == min(self._names)
+        return heard >= others and context.identity.name == min(self._founders)
 
     def _create_snapshot(self) -> snapshot_lib.Snapshot:
         context = self._context
         voters = [context.identity]
-        for name in sorted(self._names - {context.identity.name}):
+        for name in sorted(self._founders - {context.identity.name}):
             voters.append(self._empty[name][0])
         cluster = f"{context.identity.disk}-{context.random.getrandbits(64):x}"
         membership = membership_lib.Membership(tuple(voters))
--- a/src/skylarkcleat/consensus/links.py
+++ b/src/skylarkcleat/consensus/links.py
@@ -125,7 +125,7 @@
             self._context.term()
             raise
         for name, address in self._peers.items():
-            self._links[name] = _Link(self._context, address)
+            self.add_peer(name, address)
         self.tasks = [
             asyncio.create_task(self._listen()),
             asyncio.create_task(self._ping()),
@@ -141,6 +141,11 @@
         self._router.close(linger=0)
         self._context.term()
 
+    def add_peer(self, name: str, address: str) -> None:
+        """Opens a link to a peer, unless there is one."""
+        if name not in self._links and name != self._name:
+            self._links[name] = _Link(self._context, address)
+
     def send(self, envelope: message_lib.Envelope) -> None:
         """Sends an envelope, or drops it if its peer's queue is full."""
         link = self._links.get(envelope.receiver.name)
@@ -178,7 +183,7 @@
     async def _ping(self) -> None:
         while True:
             now = time.monotonic()
-            for link in self._links.values():
+            for link in list(self._links.values()):
                 self.replaced_sockets += link.check(now)
                 ping = _Ping(self._name, time.monotonic(), link.heard)
                 link.send([_PING_MARK, msgspec.msgpack.encode(ping)])
--- a/src/skylarkcleat/consensus/replica.py
+++ b/src/skylarkcleat/consensus/replica.py
@@ -60,6 +60,11 @@
         leader = self.context.leader
         return leader.name if leader else ""
 
+    @property
+    def _lease_s(self) -> float:
+        limits = self.context.limits
+        return limits.election_s * (1 - limits.clock_drift)
+
     @property
     def wants_snapshot(self) -> bool:
         """Whether enough was applied since the last snapshot for a new one."""
@@ -79,8 +84,7 @@
             self._expire_leader()
             self._election.tick()
             return
-        lease = context.limits.election_s * (1 - context.limits.clock_drift)
-        if now - self._leadership.answer_time() >= lease:
+        if now - self._leadership.answer_time() >= self._lease_s:
             self._step_down()
             return
         self._joining.advance(self._leadership)
@@ -136,6 +140,34 @@
         self.context.now = now
         return self._reading.ask(self._leadership)
 
+    def meet(self, name: str) -> None:
+        """Takes in the name of a replica that was found while running."""
+        self._joining.meet(name)
+
+    def found(self, founders: t.Iterable[str]) -> None:
+        """Lets this empty replica found a cluster with other empty ones."""
+        self._joining.found(founders)
+
+    def is_leading(self, now: float) -> bool:
+        """Whether a majority followed so lately that no other can lead."""
+        if self._leadership is None or not self._leadership.is_established:
+            return False
+        return now - self._leadership.answer_time() < self._lease_s
+
+    def find_silence(self, name: str, now: float) -> float:
+        """Returns how long a replica has not answered this leader, in seconds.
+
+        It is 0 for a replica that does not lead.
+        """
+        if self._leadership is None:
+            return 0.0
+        times = [
+            peer.answered_at
+            for identity, peer in self._leadership.peers.items()
+            if identity.name == name
+        ]
+        return now - max(times, default=now)
+
     def admit(self, name: str, now: float) -> proposal_lib.Placement:
         """Makes a learner that has caught up a voter."""
         self.context.now = now
--- a/src/skylarkcleat/consensus/settings.py
+++ b/src/skylarkcleat/consensus/settings.py
@@ -16,6 +16,9 @@
         folder: Its data folder.
         bind: The `tcp://ip:port` on which it receives; unused without peers.
         peers: The other replicas' names and `tcp://ip:port` addresses.
+        is_open: Whether peers are found while the replica runs. It then
+            listens without any, and founds a cluster only once `found` names
+            the founders.
         founding: Whether the replica may found a cluster when the data
             folder of each replica in the settings is empty.
         propose_timeout_s: How long a proposal may wait for its commit.
@@ -28,6 +31,7 @@
     bind: str = ""
     peers: t.Mapping[str, str] = {}
     founding: bool = False
+    is_open: bool = False
     propose_timeout_s: float = 3.0
     confirm_timeout_s: float = 1.0
     limits: limits_lib.Limits = limits_lib.Limits()
--- /dev/null
+++ b/src/skylarkcleat/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""How processes find each other, starting from a few seeds."""
--- /dev/null
+++ b/src/skylarkcleat/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front: takes jobs from callers; the one that leads owns them all."""
--- /dev/null
+++ b/src/skylarkcleat/front/rendezvous.py
@@ -0,0 +1,166 @@
+"""How a front finds the others, founds the log and repairs its membership."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import eliot
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat.consensus import driver as driver_lib
+from skylarkcleat.discovery import founding as founding_lib
+from skylarkcleat.discovery import knowledge as knowledge_lib
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import locating
+
+ASK_S = 0.25
+"""How often a front asks others what they know."""
+
+POLL_S = 0.02
+GONE_S = 3.0
+"""A replica that is silent for so long gives way to an empty newcomer."""
+
+
+class Rendezvous:
+    """A front's place among the fronts."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        knowledge: knowledge_lib.Knowledge,
+        log: driver_lib.LogDriver | None,
+        send: t.Callable[[str, t.Any], None],
+    ) -> None:
+        self._settings = settings
+        self._knowledge = knowledge
+        self._log = log
+        self._send = send
+        self._me = settings.ip
+        is_empty = log is not None and log.is_empty
+        self._founding = founding_lib.Founding(
+            self._me,
+            settings.bootstrap and is_empty,
+            settings.bootstrap,
+            knowledge,
+        )
+        self._asked_at = 0.0
+        self._founded = False
+
+    async def run(self) -> None:
+        """Asks others, founds the log, and follows who leads."""
+        while True:
+            now = clock_lib.read_monotonic()
+            self._note_leader()
+            if now - self._asked_at >= ASK_S:
+                self._asked_at = now
+                self._ask(now)
+                self._found(now)
+                self._meet(now)
+                await self._repair()
+            await asyncio.sleep(POLL_S)
+
+    def receive(
+        self, sender: str, message: locating.LocatingMessage
+    ) -> locating.View | None:
+        """Takes in a message; returns the answer, if one is due."""
+        now = clock_lib.read_monotonic()
+        if isinstance(message, locating.View):
+            self._knowledge.merge(sender, message, now)
+            return None
+        if isinstance(message, locating.Propose):
+            self._founding.promise(message.founders)
+        elif message.me is not None:
+            self._knowledge.hear(message.me, now)
+        return self._describe(now)
+
+    def _ask(self, now: float) -> None:
+        hello = locating.Hello(self._describe_me())
+        self._knowledge.hear(self._describe_me(), now)
+        for name in self._knowledge.choose_targets(self._me, now):
+            self._send(name, hello)
+
+    def _describe_me(self) -> locating.FrontRef:
+        log = self._log
+        return locating.FrontRef(
+            self._me,
+            self._settings.zone,
+            log is not None,
+            self._settings.bootstrap and log is not None and log.is_empty,
+            0,
+        )
+
+    def _describe(self, now: float) -> locating.View:
+        knowledge = self._knowledge
+        return locating.View(
+            tuple(knowledge.list_fronts(now)),
+            knowledge.owner,
+            knowledge.term,
+            knowledge.replicas,
+            self._founding.promised,
+        )
+
+    def _note_leader(self) -> None:
+        log = self._log
+        if log is None or log.is_empty:
+            return
+        status = log.status
+        self._knowledge.note_owner(log.leader, status.term)
+        if status.leader and status.term >= self._knowledge.term:
+            replicas = tuple(voter.name for voter in status.voters)
+            self._knowledge.replicas = replicas
+
+    def _found(self, now: float) -> None:
+        if self._log is None or self._founded or not self._log.is_empty:
+            return
+        founders = self._founding.find_founders()
+        if founders:
+            self._founded = True
+            eliot.log_message("front:founding", founders=list(founders))
+            for name in founders:
+                self._meet_replica(name)
+            self._log.found(founders)
+            return
+        proposal = self._founding.find_proposal(now)
+        if not proposal:
+            return
+        for seed in self._knowledge.seeds:
+            if seed == self._me:
+                self._founding.promise(proposal)
+            else:
+                self._send(seed, locating.Propose(proposal))
+
+    def _meet(self, now: float) -> None:
+        if self._log is None:
+            return
+        for ref in self._knowledge.list_fronts(now):
+            if ref.has_disk:
+                self._meet_replica(ref.name)
+        for name in self._knowledge.replicas:
+            self._meet_replica(name)
+
+    def _meet_replica(self, name: str) -> None:
+        if name != self._me:
+            port = self._settings.port_range[0] + 1
+            self._log.meet(name, f"tcp://{name}:{port}")
+
+    async def _repair(self) -> None:
+        """Lets newcomers vote, in place of replicas that are gone."""
+        log = self._log
+        if log is None or not log.is_leading:
+            return
+        status = log.status
+        for learner in status.learners:
+            if any(voter.name == learner.name for voter in status.voters):
+                continue
+            gone = [
+                voter.name
+                for voter in status.voters
+                if log.find_silence(voter.name) > GONE_S
+            ]
+            if gone:
+                eliot.log_message(
+                    "front:replica-replaced", gone=gone[0], by=learner.name
+                )
+                await log.expel(gone[0])
+            await log.admit(learner.name)
--- /dev/null
+++ b/src/skylarkcleat/front/requests.py
@@ -0,0 +1,96 @@
+"""Requests of this front that the owner answers."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat.protocol import scheduling
+
+Build = t.Callable[[int, float], t.NamedTuple]
+"""Makes a request's message from its number and its age in seconds."""
+
+Send = t.Callable[[t.NamedTuple], bool]
+"""Sends a message to the owner; returns whether there is one."""
+
+
+class _Open:
+    """A request that waits for the owner's reply."""
+
+    def __init__(self, build: Build, now: float) -> None:
+        self.build = build
+        self.begun_at = now
+        self.was_sent = False
+        self.reply: asyncio.Future[scheduling.Reply]
+        self.reply = asyncio.get_running_loop().create_future()
+
+
+class Requests:
+    """Sends requests to the owner, again whenever another takes over."""
+
+    def __init__(self, send: Send) -> None:
+        self._send = send
+        self._number = 0
+        self._open: dict[int, _Open] = {}
+
+    def __len__(self) -> int:
+        """Returns how many requests are open."""
+        return len(self._open)
+
+    async def call(self, build: Build, timeout_s: float) -> scheduling.Reply:
+        """Sends a request and waits for the reply.
+
+        Args:
+            build: Makes the message.
+            timeout_s: How long to wait, in seconds.
+
+        Returns:
+            The reply. Without one the verdict is `NOT_RUN` if the request
+            was never sent, and `UNCERTAIN` otherwise.
+        """
+        self._number += 1
+        number = self._number
+        opened = _Open(build, clock_lib.read_monotonic())
+        self._open[number] = opened
+        try:
+            self._forward(number, opened)
+            return await asyncio.wait_for(opened.reply, timeout_s)
+        except TimeoutError:
+            return self._describe_timeout(number, opened)
+        except asyncio.CancelledError:
+            if opened.was_sent:
+                self._send(scheduling.Abandon(number))
+            raise
+        finally:
+            del self._open[number]
+
+    def take_reply(self, reply: scheduling.Reply) -> None:
+        """Takes in a reply; one of a process that is no owner is ignored."""
+        opened = self._open.get(reply.request)
+        if opened is None or opened.reply.done():
+            return
+        if reply.verdict is not scheduling.Verdict.NOT_OWNER:
+            opened.reply.set_result(reply)
+
+    def send_again(self) -> None:
+        """Sends every open request to a new owner."""
+        for number, opened in self._open.items():
+            self._forward(number, opened)
+
+    def _forward(self, number: int, opened: _Open) -> None:
+        age_s = clock_lib.read_monotonic() - opened.begun_at
+        if self._send(opened.build(number, age_s)):
+            opened.was_sent = True
+
+    def _describe_timeout(self, number: int, opened: _Open) -> scheduling.Reply:
+        if opened.was_sent:
+            self._send(scheduling.Abandon(number))
+            return scheduling.Reply(
+                number,
+                scheduling.Verdict.UNCERTAIN,
+                "the owner has not answered in time",
+            )
+        return scheduling.Reply(
+            number, scheduling.Verdict.NOT_RUN, "no owner is known"
+        )
--- a/src/skylarkcleat/logs.py
+++ b/src/skylarkcleat/logs.py
@@ -21,6 +21,7 @@
 
 DEFAULT_JOBS_PER_S = 20.0
 MAX_WAITING_LINES = 10_000
+STDOUT = "-"
 JOB_ACTION = "skylarkcleat:job"
 REMOTE_ACTION = "skylarkcleat:attempts"
 SKIPPED_MESSAGE = "skylarkcleat:jobs-not-logged"
@@ -76,7 +77,9 @@
             OSError: The file cannot be opened.
         """
         self._file = sys.stderr.buffer
-        if self._path:
+        if self._path == STDOUT:
+            self._file = sys.stdout.buffer
+        elif self._path:
             self._file = open(self._path, "ab")
         self._thread.start()
         eliot.add_destinations(self._take)
@@ -87,7 +90,7 @@
         eliot.remove_destination(self._take)
         self._lines.put(None)
         self._thread.join()
-        if self._path:
+        if self._path not in ("", STDOUT):
             self._file.close()
 
     def start_job(
@@ -178,7 +181,7 @@
 
     Args:
         level: `debug`, `info`, `warning` or `error`.
-        file: An absolute path; standard error if empty.
+        file: An absolute path; standard error if empty, or `STDOUT`.
         process: The name of the process, set in each line.
         jobs_per_s: The most jobs a second that are logged.
     """
--- /dev/null
+++ b/src/skylarkcleat/platform/configuration_body.py
@@ -0,0 +1,98 @@
+"""Decodes and checks the operator's configuration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from skylarkcleat.configuration import content
+
+
+class ConfigurationError(ValueError):
+    """A configuration that is not valid; the message says why."""
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: msgspec.Raw | None = None
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    admission_check: bool = False
+
+
+class _Body(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+
+
+_DECODER = msgspec.json.Decoder(_Body)
+
+
+def decode_configuration(body: bytes) -> content.Configuration:
+    """Returns the configuration in a body.
+
+    Raises:
+        ConfigurationError: The body is no valid configuration.
+    """
+    try:
+        decoded = _DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigurationError(f"it can't be read: {error}") from error
+    _check(decoded)
+    return content.Configuration(
+        decoded.version,
+        tuple(map(_create_queue, decoded.routes)),
+        tuple(
+            content.Upstream(each.name, each.admission_check)
+            for each in decoded.services
+        ),
+        body,
+    )
+
+
+def _create_queue(route: _Route) -> content.Queue:
+    return content.Queue(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        route.service,
+        round(route.timeout_ms),
+        round(route.target_latency_ms),
+        route.priority,
+        max(route.max_attempts, 1),
+        route.stretch,
+        "" if route.advice is None else "advice",
+    )
+
+
+def _check(body: _Body) -> None:
+    if body.version < 1:
+        raise ConfigurationError(f"version {body.version} is not positive")
+    services = {service.name for service in body.services}
+    if len(services) < len(body.services):
+        raise ConfigurationError("two services share a name")
+    places = set()
+    for route in body.routes:
+        if route.service not in services:
+            raise ConfigurationError(
+                f"route {route.name!r} names the unknown service "
+                f"{route.service!r}"
+            )
+        if route.timeout_ms <= 0:
+            raise ConfigurationError(f"route {route.name!r} has no timeout")
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            raise ConfigurationError(
+                f"route {route.name!r} shares its host and prefix"
+            )
+        places.add(place)
--- /dev/null
+++ b/src/skylarkcleat/platform/ingress.py
@@ -0,0 +1,120 @@
+"""Serves callers, operators and the health check of a front."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from aiohttp import web
+
+from skylarkcleat.front import service as service_lib
+from skylarkcleat.platform import configuration_body
+from skylarkcleat.platform import job_body
+from skylarkcleat.platform import names
+from skylarkcleat.protocol import scheduling
+
+DEFAULT_PATIENCE_MS = 10_000
+MAX_BODY_BYTES = 4 * 1024 * 1024
+_JOB_PATH = re.compile(r"(.*?)([0-9a-fA-F]{16})", re.DOTALL)
+_STATES = (
+    scheduling.Verdict.COMPLETED,
+    scheduling.Verdict.FAILED,
+    scheduling.Verdict.CANCELLED,
+    scheduling.Verdict.QUEUED,
+    scheduling.Verdict.RUNNING,
+)
+_STATUSES = {
+    scheduling.Verdict.INVALID: 400,
+    scheduling.Verdict.UNKNOWN_QUEUE: 404,
+    scheduling.Verdict.UNKNOWN_JOB: 410,
+    scheduling.Verdict.NOT_RUN: 503,
+    scheduling.Verdict.UNCERTAIN: 504,
+    scheduling.Verdict.ACCEPTED: 200,
+}
+
+
+class Ingress:
+    """Translates HTTP requests into calls of a front."""
+
+    def __init__(self, front: service_lib.FrontService) -> None:
+        self._front = front
+
+    async def handle_job(self, request: web.BaseRequest) -> web.Response:
+        """Answers a caller's request about jobs."""
+        host = request.headers.get("Host", "").partition(":")[0].lower()
+        found = _JOB_PATH.fullmatch(request.path)
+        if request.method == "POST":
+            if found is None:
+                return self._respond(404, {})
+            return await self._submit(request, host, *found.groups())
+        if request.method not in ("GET", "DELETE"):
+            return self._respond(405, {})
+        path, job = found.groups() if found else (request.path, "")
+        if not job and request.method == "DELETE":
+            return self._respond(404, {})
+        cancel = request.method == "DELETE"
+        reply = await self._front.ask(host, path, job.lower(), cancel)
+        return self._translate(reply)
+
+    async def handle_control(self, request: web.BaseRequest) -> web.Response:
+        """Answers an operator."""
+        place = (request.method, request.path)
+        if place == ("POST", names.CONFIGURATION_PUT_PATH):
+            return await self._put(request)
+        if place == ("GET", names.CONFIGURATION_GET_PATH):
+            return await self._get()
+        return self._respond(404, {})
+
+    async def handle_ready(self, request: web.BaseRequest) -> web.Response:
+        """Answers the health check."""
+        del request
+        return self._respond(200 if self._front.is_ready else 503, {})
+
+    async def _submit(
+        self, request: web.BaseRequest, host: str, path: str, job_id: str
+    ) -> web.Response:
+        body = await request.read()
+        try:
+            job = job_body.decode_job(job_id.lower(), body)
+        except job_body.JobError as error:
+            return self._respond(400, {"error": str(error)})
+        patience_ms = _read_patience(request)
+        reply = await self._front.submit(host, path, job, patience_ms)
+        return self._translate(reply)
+
+    async def _put(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        try:
+            decoded = configuration_body.decode_configuration(body)
+        except configuration_body.ConfigurationError as error:
+            return self._respond(400, {"error": str(error)})
+        return self._translate(await self._front.put_configuration(decoded))
+
+    async def _get(self) -> web.Response:
+        found = await self._front.read_configuration()
+        if found is None or not found.version:
+            return self._respond(503, {})
+        return web.Response(body=found.original, content_type=names.JSON)
+
+    def _translate(self, reply: scheduling.Reply) -> web.Response:
+        if reply.verdict in _STATES:
+            return self._respond(200, {"state": reply.verdict.value})
+        if reply.verdict is scheduling.Verdict.COUNTED:
+            return self._respond(200, {"pending": reply.count})
+        status = _STATUSES.get(reply.verdict, 503)
+        response = self._respond(status, {"error": reply.detail})
+        if status == 503:
+            seconds = max(1, math.ceil(reply.retry_after_ms / 1000))
+            response.headers["Retry-After"] = str(seconds)
+        return response
+
+    def _respond(self, status: int, body: dict[str, object]) -> web.Response:
+        response = web.json_response(body, status=status)
+        if self._front.is_draining:
+            response.force_close()
+        return response
+
+
+def _read_patience(request: web.BaseRequest) -> int:
+    text = request.headers.get(names.PATIENCE_HEADER, "")
+    return int(text) if text.isdigit() else DEFAULT_PATIENCE_MS
--- /dev/null
+++ b/src/skylarkcleat/platform/job_body.py
@@ -0,0 +1,109 @@
+"""Decodes the body of a submitted job."""
+
+from __future__ import annotations
+
+import msgspec
+
+from skylarkcleat.protocol import scheduling
+
+MAX_SPEC_BYTES = 4000
+MAX_TASKS = 100_000
+_UNSUPPORTED = (
+    "gang",
+    "same_rack",
+    "speculative",
+    "long_running",
+    "fills",
+)
+
+
+class JobError(ValueError):
+    """A body that is no job; the message says why."""
+
+
+class _Step(msgspec.Struct, rename="kebab"):
+    task_count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    depends_on: tuple[int, ...] = ()
+    requirements: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    gang: bool = False
+    same_rack: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    fills: bool = False
+
+
+class _Body(msgspec.Struct, rename="kebab"):
+    spec: str
+    steps: tuple[_Step, ...]
+    best_effort: bool = False
+    long_running: bool = False
+    run_count: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Body, strict=False)
+
+
+def decode_job(job: str, body: bytes) -> scheduling.Job:
+    """Returns the job in a body.
+
+    Args:
+        job: The job's id.
+        body: The body of the request.
+
+    Raises:
+        JobError: The body is no job.
+    """
+    try:
+        decoded = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        raise JobError(f"the job can't be read: {error}") from error
+    _check(decoded)
+    steps = tuple(
+        scheduling.Step(
+            step.task_count,
+            step.cpu,
+            step.mem_mb,
+            step.gpu,
+            round(step.estimated_ms),
+            step.depends_on,
+            step.requirements,
+            step.data_rack,
+            step.max_per_server,
+        )
+        for step in decoded.steps
+    )
+    return scheduling.Job(job, decoded.spec, steps, _find_unsupported(decoded))
+
+
+def _check(body: _Body) -> None:
+    if len(body.spec.encode()) > MAX_SPEC_BYTES:
+        raise JobError(f"the spec is longer than {MAX_SPEC_BYTES} bytes")
+    if not body.steps:
+        raise JobError("the job has no steps")
+    if sum(max(step.task_count, 0) for step in body.steps) > MAX_TASKS:
+        raise JobError(f"the job has more than {MAX_TASKS} tasks")
+    for number, step in enumerate(body.steps):
+        if step.task_count < 1:
+            raise JobError(f"step {number} has no tasks")
+        if any(not 0 <= each < number for each in step.depends_on):
+            raise JobError(f"step {number} depends on a step not before it")
+
+
+def _find_unsupported(body: _Body) -> str:
+    if not body.best_effort:
+        return "durable"
+    if body.long_running:
+        return "long-running"
+    if body.run_count:
+        return "recurring"
+    for step in body.steps:
+        for name in _UNSUPPORTED:
+            if getattr(step, name):
+                return name
+    return ""
--- /dev/null
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -0,0 +1,144 @@
+"""Decodes what a runner reports and answers."""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import ledger
+
+_DRAINING = "draining"
+
+
+class RunnerError(ValueError):
+    """Bytes that name no runner or are no answer of one."""
+
+
+class Heartbeat(t.NamedTuple):
+    """One heartbeat of a runner.
+
+    Attributes:
+        runner: What it says of itself.
+        address: Where it takes calls, as `ip:port`.
+        sequence: Rises with each heartbeat of one life.
+        clock_ms: Its own steady clock, in milliseconds.
+    """
+
+    runner: scheduling.Runner
+    address: str
+    sequence: int
+    clock_ms: int
+
+
+class Answer(t.NamedTuple):
+    """What a runner answered to a call.
+
+    Attributes:
+        status: The HTTP status.
+        reason: Why it refused; empty if it did not say.
+        clock_ms: Its steady clock, in milliseconds; None if it did not say.
+    """
+
+    status: int
+    reason: str
+    clock_ms: int | None
+
+
+class Held(t.NamedTuple):
+    """What a runner answered when it was asked for its runs."""
+
+    born_ms: int
+    clock_ms: int
+    running: tuple[tuple[str, int], ...]
+    ends: tuple[scheduling.End, ...]
+
+
+class _Capacity(msgspec.Struct, rename="kebab"):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Heartbeat(msgspec.Struct, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    state: t.Literal["ready", "draining"]
+    capacity: _Capacity
+    sequence: int
+    born: int = 0
+    labels: tuple[str, ...] = ()
+    clock_ms: int = 0
+
+
+class _Answer(msgspec.Struct, rename="kebab"):
+    reason: str = ""
+    clock_ms: int | None = None
+
+
+class _Held(msgspec.Struct, rename="kebab"):
+    clock_ms: int
+    born: int = 0
+    running: tuple[tuple[t.Any, ...], ...] = ()
+    ended: tuple[tuple[int, str, int, scheduling.Ending, t.Any], ...] = ()
+
+
+_HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
+_ANSWER = msgspec.json.Decoder(_Answer)
+_HELD = msgspec.json.Decoder(_Held)
+
+
+def decode_heartbeat(runner: str, body: bytes) -> Heartbeat:
+    """Returns a heartbeat.
+
+    Raises:
+        RunnerError: The body is no heartbeat of a runner.
+    """
+    try:
+        decoded = _HEARTBEAT.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RunnerError(f"no heartbeat of a runner: {error}") from error
+    described = scheduling.Runner(
+        runner,
+        decoded.born,
+        decoded.service,
+        decoded.capacity.cpu,
+        decoded.capacity.mem_mb,
+        decoded.capacity.gpu,
+        decoded.labels,
+        decoded.state == _DRAINING,
+    )
+    return Heartbeat(
+        described, decoded.address, decoded.sequence, decoded.clock_ms
+    )
+
+
+def decode_answer(status: int, body: bytes) -> Answer:
+    """Returns a runner's answer to a start or a stop."""
+    try:
+        decoded = _ANSWER.decode(body or b"{}")
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return Answer(status, "unreadable answer", None)
+    return Answer(status, decoded.reason, decoded.clock_ms)
+
+
+def decode_held(body: bytes) -> Held:
+    """Returns a runner's answer to a hold.
+
+    Raises:
+        RunnerError: The body is no such answer.
+    """
+    try:
+        decoded = _HELD.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RunnerError(f"no list of runs: {error}") from error
+    running = tuple((str(row[0]), int(row[1])) for row in decoded.running)
+    ends = tuple(scheduling.End(*row[:4]) for row in decoded.ended)
+    return Held(decoded.born, decoded.clock_ms, running, ends)
+
+
+def create_look(held: Held, asked_at: float) -> ledger.Look:
+    """Returns an answer to a hold as the ledger takes it."""
+    return ledger.Look(asked_at, held.born_ms, held.running, held.ends)
--- /dev/null
+++ b/src/skylarkcleat/platform/runner_client.py
@@ -0,0 +1,132 @@
+"""Calls to a runner."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import aiohttp
+import msgspec
+
+from skylarkcleat.platform import names
+from skylarkcleat.platform import runner_body
+from skylarkcleat.protocol import scheduling
+
+CALL_TIMEOUT_S = 0.25
+"""For a call within one VM, which takes under a millisecond."""
+
+MAX_CONNECTIONS = 4
+UNANSWERED = 0
+"""The status of a call that got no answer: it may have been carried out."""
+
+_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, asyncio.TimeoutError)
+
+
+class RunnerClient:
+    """The connections to one runner. A context manager."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._encoder = msgspec.json.Encoder()
+
+    async def __aenter__(self) -> t.Self:
+        connector = aiohttp.TCPConnector(
+            limit=MAX_CONNECTIONS, keepalive_timeout=3600
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._session.close()
+
+    async def start(
+        self, order: scheduling.Start, deadline_ms: int, runner: str
+    ) -> runner_body.Answer:
+        """Starts a task.
+
+        Args:
+            order: What to start.
+            deadline_ms: Until when it may run, on the runner's clock.
+            runner: The runner that is meant.
+
+        Returns:
+            The answer; its status is `UNANSWERED` if there is none.
+        """
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.spec,
+            "deadline-ms": deadline_ms,
+            "fencing-token": order.epoch,
+        }
+        return await self._call(names.START_PATH, body, runner)
+
+    async def stop(
+        self, order: scheduling.Stop, runner: str
+    ) -> runner_body.Answer:
+        """Stops a run; one that is not there yet will be refused."""
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "fencing-token": order.epoch,
+        }
+        return await self._call(names.STOP_PATH, body, runner)
+
+    async def hold(
+        self,
+        epoch: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+        runner: str,
+    ) -> runner_body.Held | None:
+        """Asks for all runs, and lets them run on.
+
+        Args:
+            epoch: The fencing token; the runner refuses lower ones after it.
+            last_seen: Ends up to this number are forgotten.
+            deadline_ms: Until when they may run, on the runner's clock.
+            wait_ms: How long to wait for an end, in milliseconds.
+            runner: The runner that is meant; empty for any.
+
+        Returns:
+            None if there is no readable answer.
+        """
+        body: dict[str, int] = {"fencing-token": epoch, "last-seen": last_seen}
+        if deadline_ms is not None:
+            body["deadline-ms"] = deadline_ms
+        if wait_ms:
+            body["wait-ms"] = wait_ms
+        timeout = CALL_TIMEOUT_S + wait_ms / 1000
+        status, data = await self._post(names.HOLD_PATH, body, runner, timeout)
+        if status != 200:
+            return None
+        try:
+            return runner_body.decode_held(data)
+        except runner_body.RunnerError:
+            return None
+
+    async def _call(
+        self, path: str, body: dict[str, t.Any], runner: str
+    ) -> runner_body.Answer:
+        status, data = await self._post(path, body, runner, CALL_TIMEOUT_S)
+        return runner_body.decode_answer(status, data)
+
+    async def _post(
+        self, path: str, body: dict[str, t.Any], runner: str, timeout: float
+    ) -> tuple[int, bytes]:
+        headers = {"Content-Type": names.JSON}
+        if runner:
+            headers[names.BOOT_HEADER] = runner
+        try:
+            async with asyncio.timeout(timeout):
+                async with self._session.post(
+                    self._url + path,
+                    data=self._encoder.encode(body),
+                    headers=headers,
+                ) as response:
+                    return response.status, await response.read()
+        except _FAILURES:
+            return UNANSWERED, b""
--- /dev/null
+++ b/src/skylarkcleat/platform/runner_reports.py
@@ -0,0 +1,49 @@
+"""Serves the calls that a runner makes to the side process beside it."""
+
+from __future__ import annotations
+
+import abc
+
+import eliot
+from aiohttp import web
+
+from skylarkcleat.platform import names
+from skylarkcleat.platform import runner_body
+
+
+class RunnerListener(abc.ABC):
+    """Who is told of a runner's calls."""
+
+    @abc.abstractmethod
+    def take_heartbeat(self, heartbeat: runner_body.Heartbeat) -> None:
+        """Takes in a heartbeat."""
+
+    @abc.abstractmethod
+    def take_leave(self, runner: str) -> None:
+        """Takes in that a runner ends."""
+
+
+def create_reports_app(listener: RunnerListener) -> web.Application:
+    """Returns the application that a runner calls."""
+
+    async def take_heartbeat(request: web.Request) -> web.Response:
+        runner = request.match_info["id"]
+        body = await request.read()
+        try:
+            heartbeat = runner_body.decode_heartbeat(runner, body)
+        except runner_body.RunnerError as error:
+            eliot.log_message(
+                "side:heartbeat-ignored", runner=runner, reason=str(error)
+            )
+            return web.json_response({})
+        listener.take_heartbeat(heartbeat)
+        return web.json_response({})
+
+    async def take_leave(request: web.Request) -> web.Response:
+        listener.take_leave(request.match_info["id"])
+        return web.json_response({})
+
+    app = web.Application(client_max_size=4 * 1024 * 1024)
+    app.router.add_post(names.HEARTBEAT_PATH, take_heartbeat)
+    app.router.add_post(names.DEREGISTER_PATH, take_leave)
+    return app
--- /dev/null
+++ b/src/skylarkcleat/platform/settings.py
@@ -0,0 +1,100 @@
+"""Reads the settings file that the infrastructure writes for a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import typing as t
+
+import msgspec
+
+from skylarkcleat.settings import problem as problem_lib
+
+PATH_VARIABLE = "SKYLARKCLEAT_SETTINGS"
+
+
+class Listen(msgspec.Struct, rename="kebab"):
+    """Addresses, as `ip:port`, that others call; empty if not served."""
+
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class Tolerance(msgspec.Struct, rename="kebab"):
+    """What may be lost at the same time."""
+
+    machines: int = 0
+
+
+class Bounds(msgspec.Struct):
+    """Values that the infrastructure's promises rest on."""
+
+    grace_s: float = msgspec.field(name="grace-s", default=6.0)
+    max_hold_ms: int = msgspec.field(name="max-hold-ms", default=1000)
+    retry_ms: int = msgspec.field(name="retry-ms", default=1300)
+    config_apply_ms: int = msgspec.field(name="config-apply-ms", default=2000)
+
+
+class Settings(msgspec.Struct, rename="kebab"):
+    """A process's settings; fields that are not known are ignored.
+
+    Attributes:
+        node: The VM's name.
+        ip: Its IP number.
+        zone: Its availability zone.
+        port_range: The first and the last port for the project's own use.
+        seeds: `control` addresses of up to three fronts.
+        bootstrap: Whether the system starts for the first time.
+        data_dir: The folder on the VM's disk; empty without one.
+        app: The address of the runner beside a side process.
+        service: The upstream of that runner.
+        listen: What the process serves.
+        fault_tolerance: What may be lost at the same time.
+        bounds: Values that the infrastructure's promises rest on.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
+    data_dir: str = ""
+    app: str = ""
+    service: str = ""
+    listen: Listen = msgspec.field(default_factory=Listen)
+    fault_tolerance: Tolerance = msgspec.field(default_factory=Tolerance)
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+
+
+def load_settings(path: str = "") -> Settings:
+    """Returns the settings of this process.
+
+    Args:
+        path: The file; by default the one that the environment names.
+
+    Raises:
+        SettingsError: Says what is wrong with the file.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, "")
+    try:
+        data = pathlib.Path(path).read_bytes()
+        return msgspec.toml.decode(data, type=Settings)
+    except (OSError, msgspec.MsgspecError) as error:
+        problem = problem_lib.Problem(path, "", str(error))
+        raise problem_lib.SettingsError([problem]) from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of an `ip:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def list_seed_ips(settings: Settings) -> tuple[str, ...]:
+    """Returns the IP numbers of the seeds."""
+    return t.cast(
+        tuple[str, ...],
+        tuple(split_address(seed)[0] for seed in settings.seeds),
+    )
--- /dev/null
+++ b/src/skylarkcleat/scheduling/active.py
@@ -0,0 +1,155 @@
+"""A job that the owner answers for."""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+from skylarkcleat.configuration import content
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.wire import session as session_lib
+
+LATE_OBJECTIVES = 3.0
+"""A job is of no use to its caller after this many times its objective."""
+
+_OCCURRENCE = 0
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class Task:
+    """One task of an active job.
+
+    Attributes:
+        name: The task's name.
+        step: The number of its step.
+        state: Where it stands.
+        run: The number of its latest run; 0 before the first.
+        failures: How many of its runs failed.
+        shunned: Side processes on which it failed.
+    """
+
+    def __init__(self, name: str, step: int) -> None:
+        self.name = name
+        self.step = step
+        self.state = TaskState.WAITING
+        self.run = 0
+        self.failures = 0
+        self.shunned: set[str] = set()
+
+
+class Waiter(t.NamedTuple):
+    """A front's request that waits for a job's end."""
+
+    peer: session_lib.Endpoint
+    request: int
+
+
+class ActiveJob:
+    """A job that has not ended.
+
+    Attributes:
+        job: What was submitted.
+        queue: The queue as it was then.
+        tasks: All tasks, in the order of their names' numbers.
+        waiters: Whom to answer.
+        submitted_at: When the caller sent it, on the owner's clock.
+        left_at: When the last waiter went; None while there is one.
+        expected_s: The expected time of its longest chain of steps.
+        objective_s: What the whole job may take, in seconds.
+        started: Whether any task was ever ordered to start.
+    """
+
+    def __init__(
+        self,
+        job: scheduling.Job,
+        queue: content.Queue,
+        submitted_at: float,
+        step_s: t.Sequence[float],
+    ) -> None:
+        self.job = job
+        self.queue = queue
+        self.tasks = _create_tasks(job)
+        self.waiters: list[Waiter] = []
+        self.submitted_at = submitted_at
+        self.left_at: float | None = None
+        self.expected_s = _find_longest(job.steps, step_s)
+        target_s = queue.latency_target_ms / 1000
+        self.objective_s = queue.stretch * self.expected_s + target_s
+        self.started = False
+
+    @property
+    def due_at(self) -> float:
+        """When it should have ended."""
+        return self.submitted_at + self.objective_s
+
+    @property
+    def useless_at(self) -> float:
+        """When its end is of no use any more."""
+        return self.submitted_at + LATE_OBJECTIVES * self.objective_s
+
+    @property
+    def latest_start(self) -> float:
+        """When its tasks must start to end in time."""
+        return self.due_at - self.expected_s
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task is done."""
+        return all(task.state is TaskState.DONE for task in self.tasks)
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a task runs or ran."""
+        return self.started
+
+    def list_waiting(self) -> list[Task]:
+        """Returns the tasks that may start now."""
+        waiting = []
+        for task in self.tasks:
+            if task.state is not TaskState.WAITING:
+                continue
+            step = self.job.steps[task.step]
+            if all(self._is_step_done(each) for each in step.depends_on):
+                waiting.append(task)
+        return waiting
+
+    def find_task(self, name: str) -> Task | None:
+        """Returns a task by its name."""
+        return next((task for task in self.tasks if task.name == name), None)
+
+    def _is_step_done(self, number: int) -> bool:
+        return all(
+            task.state is TaskState.DONE
+            for task in self.tasks
+            if task.step == number
+        )
+
+
+def find_job_id(task: str) -> str:
+    """Returns the id of the job that a task's name belongs to."""
+    return task.partition(".")[0]
+
+
+def _create_tasks(job: scheduling.Job) -> list[Task]:
+    return [
+        Task(f"{job.id}.{_OCCURRENCE}.{number}.{index}", number)
+        for number, step in enumerate(job.steps)
+        for index in range(step.task_count)
+    ]
+
+
+def _find_longest(
+    steps: t.Sequence[scheduling.Step], step_s: t.Sequence[float]
+) -> float:
+    ends: list[float] = []
+    for step, duration in zip(steps, step_s, strict=True):
+        start = max((ends[each] for each in step.depends_on), default=0.0)
+        ends.append(start + duration)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -0,0 +1,78 @@
+"""In which order waiting jobs get room.
+
+Answers bursts of long jobs beside short ones: jobs that can still end in
+time go first, the one that must start soonest at the head; those that are
+late already get what is left.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import sortedcontainers
+
+from skylarkcleat.scheduling import active
+
+MAX_BLOCKED = 24
+"""How many jobs without room are tried in one pass."""
+
+
+class _Entry(t.NamedTuple):
+    latest_start: float
+    number: int
+    job: str
+
+
+class Backlog:
+    """Jobs that may have tasks to start."""
+
+    def __init__(self) -> None:
+        self._timely: sortedcontainers.SortedList[_Entry]
+        self._timely = sortedcontainers.SortedList()
+        self._late: sortedcontainers.SortedList[_Entry]
+        self._late = sortedcontainers.SortedList()
+        self._jobs: dict[str, tuple[active.ActiveJob, _Entry]] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        """Returns how many jobs there are."""
+        return len(self._jobs)
+
+    def add(self, job: active.ActiveJob) -> None:
+        """Adds a job."""
+        self._number += 1
+        entry = _Entry(job.latest_start, self._number, job.job.id)
+        self._jobs[job.job.id] = (job, entry)
+        self._timely.add(entry)
+
+    def remove(self, job: active.ActiveJob) -> None:
+        """Removes a job, if it is there."""
+        found = self._jobs.pop(job.job.id, None)
+        if found is not None:
+            self._timely.discard(found[1])
+            self._late.discard(found[1])
+
+    def place(
+        self, now: float, place: t.Callable[[active.ActiveJob], bool]
+    ) -> None:
+        """Offers room to each job in turn.
+
+        Args:
+            now: The time, in seconds.
+            place: Starts a job's tasks; returns whether none is left that
+                could start.
+        """
+        self._move_late(now)
+        blocked = 0
+        for entry in [*self._timely, *self._late]:
+            job = self._jobs[entry.job][0]
+            if not job.list_waiting():
+                continue
+            if not place(job):
+                blocked += 1
+            if blocked >= MAX_BLOCKED:
+                return
+
+    def _move_late(self, now: float) -> None:
+        while self._timely and self._timely[0].latest_start < now:
+            self._late.add(self._timely.pop(0))
--- /dev/null
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -0,0 +1,491 @@
+"""The owner: decides about every job and every task.
+
+It is pure: its methods take messages and the time, and leave messages in
+`outbox`. One front is the owner at a time; a new one knows nothing but what
+side processes report, and starts nothing before each that may hold a lease
+has reported or its lease has ended.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+
+import eliot
+
+from skylarkcleat.configuration import content
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import active
+from skylarkcleat.scheduling import backlog as backlog_lib
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import memory as memory_lib
+from skylarkcleat.scheduling import placement
+from skylarkcleat.scheduling import speed as speed_lib
+from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.wire import session as session_lib
+
+ABANDONED_S = 2.5
+"""How long a job without a caller is kept: a caller resends after 1.3 s."""
+
+EPOCHS_PER_OWNER = 1 << 16
+SKIPPED_RUNS = 8
+"""Added to a run's number that a runner has passed already."""
+
+MAX_BACKLOG_S = 1.0
+_MAX_DURATION_ERROR = math.log(20)
+_MIN_DURATION_S = 0.001
+
+
+class Outgoing(t.NamedTuple):
+    """A message to one incarnation of a process."""
+
+    peer: session_lib.Endpoint
+    message: t.Any
+
+
+class Owner:
+    """Places jobs' tasks on runners.
+
+    Args:
+        index: The log position at which this front became the owner.
+        sides: The side processes that may hold leases of former owners.
+        now: The time, in seconds.
+
+    Attributes:
+        outbox: Messages to be sent.
+        jobs: The jobs that have not ended, by id.
+        workers: The side processes that hold a lease, by name.
+    """
+
+    def __init__(self, index: int, sides: t.Iterable[str], now: float) -> None:
+        self.outbox: list[Outgoing] = []
+        self.jobs: dict[str, active.ActiveJob] = {}
+        self.workers: dict[str, worker_lib.Worker] = {}
+        self._base = index * EPOCHS_PER_OWNER
+        self._epochs = 0
+        self._unheard = dict.fromkeys(sides, lease.find_expiry(now))
+        self._speeds: dict[str, speed_lib.Speed] = {}
+        self._estimates = speed_lib.Estimates()
+        self._backlog = backlog_lib.Backlog()
+        self._memory = memory_lib.Memory(now)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no runner may run what this owner does not know."""
+        return not self._unheard
+
+    def submit(
+        self,
+        peer: session_lib.Endpoint,
+        message: scheduling.Submit,
+        queue: content.Queue,
+        now: float,
+    ) -> None:
+        """Takes in a job, joins it if it is active, or refuses it."""
+        job = message.job
+        waiter = active.Waiter(peer, message.request)
+        known = self.jobs.get(job.id)
+        if known is not None:
+            known.waiters.append(waiter)
+            known.left_at = None
+            return
+        verdict = self._memory.find_verdict(job.id)
+        if verdict is not None:
+            self._reply(waiter, verdict, "the job has ended before")
+            return
+        step_s = [
+            self._estimates.expect(queue.name, step.estimate_ms)
+            for step in job.steps
+        ]
+        submitted_at = now - message.waited_ms / 1000
+        added = active.ActiveJob(job, queue, submitted_at, step_s)
+        added.waiters.append(waiter)
+        self.jobs[job.id] = added
+        self._adopt(added)
+        if not self._end_if_done(added, now):
+            self._backlog.add(added)
+
+    def abandon(
+        self, peer: session_lib.Endpoint, request: int, now: float
+    ) -> None:
+        """Takes in that a caller has gone."""
+        self._drop_waiters(
+            lambda waiter: waiter == active.Waiter(peer, request), now
+        )
+
+    def lose_peer(self, peer: session_lib.Endpoint, now: float) -> None:
+        """Takes in that a process can't be reached any more."""
+        self._drop_waiters(lambda waiter: waiter.peer == peer, now)
+
+    def count_waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return sum(
+            job.queue.name == queue and not job.is_started
+            for job in self.jobs.values()
+        )
+
+    def register(
+        self,
+        peer: session_lib.Endpoint,
+        message: scheduling.Register,
+        now: float,
+    ) -> None:
+        """Gives a side process a lease, in place of any former one.
+
+        Runs under the former lease stay counted until the report.
+        """
+        self._epochs += 1
+        epoch = self._base + self._epochs
+        runner = message.runner
+        key = message.side if runner is None else runner.id
+        speed = self._speeds.setdefault(key, speed_lib.Speed())
+        former = self.workers.get(message.side)
+        worker = worker_lib.Worker(message, peer, epoch, now, speed)
+        if former is not None:
+            for placed in former.runs.values():
+                worker.add(placed)
+        self.workers[message.side] = worker
+        self._send(peer, scheduling.Grant(epoch, message.sent_at))
+
+    def report(self, message: scheduling.Report, now: float) -> None:
+        """Takes in all that runs on a runner."""
+        worker = self._find_worker(message.epoch)
+        if worker is None:
+            return
+        self._unheard.pop(worker.side, None)
+        self._note_ends(worker, message.ends, now)
+        running = {run.task: run for run in message.running}
+        for placed in list(worker.runs.values()):
+            run = running.get(placed.task)
+            if run is None or run.run != placed.run:
+                worker.remove(placed.task, placed.run)
+                self._return_task(placed)
+        for run in running.values():
+            self._take_running(worker, run, now)
+        worker.phase = worker_lib.Phase.READY
+
+    def renew(
+        self,
+        peer: session_lib.Endpoint,
+        message: scheduling.Renew,
+        now: float,
+    ) -> None:
+        """Prolongs a lease."""
+        worker = self._find_worker(message.epoch)
+        if worker is None:
+            self._send(peer, scheduling.Unregistered(message.epoch))
+            return
+        worker.granted_at = now
+        if message.runner is not None:
+            worker.runner = message.runner
+        self._send(peer, scheduling.Renewed(message.epoch, message.sent_at))
+
+    def end_runs(self, message: scheduling.Ended, now: float) -> None:
+        """Takes in the ends of runs."""
+        worker = self._find_worker(message.epoch)
+        if worker is not None:
+            self._note_ends(worker, message.ends, now)
+
+    def take_back(self, message: scheduling.NotStarted, now: float) -> None:
+        """Takes in that a run never started."""
+        worker = self._find_worker(message.epoch)
+        if worker is None:
+            return
+        placed = worker.remove(message.task, message.run)
+        if placed is None:
+            return
+        self._return_task(placed)
+        if message.reason == "old":
+            task = self._find_task(message.task)
+            if task is not None:
+                task.run += SKIPPED_RUNS
+        elif message.reason not in ("draining", "room"):
+            worker.speed.failures += 1
+            worker.speed.failed_at = now
+
+    def lose_runner(self, message: scheduling.RunnerLost, now: float) -> None:
+        """Takes in that all on a runner is over and it does not answer."""
+        worker = self._find_worker(message.epoch)
+        if worker is not None:
+            self._remove_worker(worker, "its runner does not answer", now)
+
+    def tick(self, now: float) -> list[str]:
+        """Lets time pass.
+
+        Returns:
+            The side processes whose leases ended.
+        """
+        self._memory.forget(now)
+        expired = [
+            each for each in self.workers.values() if now >= each.expires_at
+        ]
+        for worker in expired:
+            self._remove_worker(worker, "its lease has ended", now)
+        for side, until in list(self._unheard.items()):
+            if now >= until:
+                del self._unheard[side]
+        for job in list(self.jobs.values()):
+            self._give_up(job, now)
+        return [worker.side for worker in expired]
+
+    def place(self, now: float) -> None:
+        """Starts what can start."""
+        if not self.is_settled:
+            return
+        workers = [each for each in self.workers.values() if each.is_open(now)]
+        self._backlog.place(now, lambda job: self._place_job(job, workers, now))
+
+    def _place_job(
+        self,
+        job: active.ActiveJob,
+        workers: list[worker_lib.Worker],
+        now: float,
+    ) -> bool:
+        if job.left_at is not None:
+            return False
+        waiting = job.list_waiting()
+        for task in waiting:
+            step = job.job.steps[task.step]
+            base_s = self._estimates.expect(job.queue.name, step.estimate_ms)
+            choice = placement.choose_worker(job, task, base_s, workers, now)
+            if choice is None:
+                return False
+            self._start(job, task, choice[0], choice[1], now)
+        return True
+
+    def _start(
+        self,
+        job: active.ActiveJob,
+        task: active.Task,
+        worker: worker_lib.Worker,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        step = job.job.steps[task.step]
+        task.run = max(task.run, self._memory.find_run(task.name)) + 1
+        task.state = active.TaskState.PLACED
+        job.started = True
+        worker.add(
+            worker_lib.Placed(task.name, task.run, step, now, expected_s)
+        )
+        start = scheduling.Start(
+            worker.epoch,
+            task.name,
+            task.run,
+            job.job.spec,
+            step.cpu,
+            step.memory_mb,
+            step.gpu,
+        )
+        self._send(worker.peer, start)
+
+    def _note_ends(
+        self,
+        worker: worker_lib.Worker,
+        ends: t.Sequence[scheduling.End],
+        now: float,
+    ) -> None:
+        for end in ends:
+            placed = worker.remove(end.task, end.run)
+            self._end_run(worker, end, placed, now)
+        if ends:
+            number = max(end.number for end in ends)
+            self._send(worker.peer, scheduling.Noted(worker.epoch, number))
+
+    def _end_run(
+        self,
+        worker: worker_lib.Worker,
+        end: scheduling.End,
+        placed: worker_lib.Placed | None,
+        now: float,
+    ) -> None:
+        self._memory.note_run(end.task, end.run)
+        job = self.jobs.get(active.find_job_id(end.task))
+        task = job.find_task(end.task) if job else None
+        if end.ending is scheduling.Ending.DONE:
+            self._memory.note_done(end.task)
+            if placed is not None and job is not None:
+                self._learn(worker, job, placed, now)
+        if task is None or task.run != end.run:
+            return
+        if end.ending is scheduling.Ending.DONE:
+            task.state = active.TaskState.DONE
+        elif task.state is active.TaskState.PLACED:
+            task.state = active.TaskState.WAITING
+        if end.ending is scheduling.Ending.FAILED:
+            task.failures += 1
+            task.shunned.add(worker.side)
+            worker.speed.failures += 1
+            worker.speed.failed_at = now
+        self._end_if_done(job, now)
+
+    def _learn(
+        self,
+        worker: worker_lib.Worker,
+        job: active.ActiveJob,
+        placed: worker_lib.Placed,
+        now: float,
+    ) -> None:
+        worker.speed.failures = 0
+        if placed.expected_s <= 0:
+            return
+        took = max(now - placed.started_at, _MIN_DURATION_S)
+        error = math.log(took / placed.expected_s)
+        error = max(-_MAX_DURATION_ERROR, min(_MAX_DURATION_ERROR, error))
+        worker.speed.learn(error, now)
+        self._estimates.learn(job.queue.name, error)
+
+    def _end_if_done(self, job: active.ActiveJob, now: float) -> bool:
+        if job.is_done:
+            self._end_job(job, scheduling.Verdict.COMPLETED, "", now)
+            return True
+        limit = job.queue.max_attempts
+        if any(task.failures >= limit for task in job.tasks):
+            detail = f"a task failed {limit} times"
+            self._end_job(job, scheduling.Verdict.FAILED, detail, now)
+            return True
+        return False
+
+    def _end_job(
+        self,
+        job: active.ActiveJob,
+        verdict: scheduling.Verdict,
+        detail: str,
+        now: float,
+    ) -> None:
+        del self.jobs[job.job.id]
+        self._backlog.remove(job)
+        for waiter in job.waiters:
+            self._reply(waiter, verdict, detail)
+        if verdict is not scheduling.Verdict.NOT_RUN:
+            self._memory.note_verdict(job.job.id, verdict)
+        self._stop_runs(job)
+        if detail:
+            eliot.log_message(
+                "owner:job-ended",
+                job=job.job.id,
+                verdict=verdict.value,
+                detail=detail,
+                age_ms=round((now - job.submitted_at) * 1000),
+                started=job.started,
+            )
+
+    def _stop_runs(self, job: active.ActiveJob) -> None:
+        names = {
+            task.name
+            for task in job.tasks
+            if task.state is active.TaskState.PLACED
+        }
+        for worker in self.workers.values():
+            for name in names & worker.runs.keys():
+                run = worker.runs[name].run
+                stop = scheduling.Stop(worker.epoch, name, run)
+                self._send(worker.peer, stop)
+
+    def _give_up(self, job: active.ActiveJob, now: float) -> None:
+        if job.left_at is not None:
+            if now - job.left_at >= ABANDONED_S:
+                detail = "its caller has gone"
+                self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
+        elif not job.started and now + job.expected_s >= job.useless_at:
+            detail = "no runner had room in time"
+            self._end_job(job, scheduling.Verdict.NOT_RUN, detail, now)
+
+    def _adopt(self, job: active.ActiveJob) -> None:
+        for task in job.tasks:
+            task.run = self._memory.find_run(task.name)
+            if self._memory.is_done(task.name):
+                task.state = active.TaskState.DONE
+                job.started = True
+            for worker in self.workers.values():
+                placed = worker.runs.get(task.name)
+                if placed is not None:
+                    task.run = placed.run
+                    task.state = active.TaskState.PLACED
+                    job.started = True
+
+    def _take_running(
+        self, worker: worker_lib.Worker, run: scheduling.Run, now: float
+    ) -> None:
+        if run.task in worker.runs:
+            return
+        self._memory.note_run(run.task, run.run)
+        step = self._find_size(worker, run)
+        placed = worker_lib.Placed(run.task, run.run, step, now, 0.0)
+        worker.add(placed)
+        job = self.jobs.get(active.find_job_id(run.task))
+        task = job.find_task(run.task) if job else None
+        if task is None:
+            self._memory.add_orphan(run, worker.side, now)
+        elif task.state is active.TaskState.WAITING and run.run > task.run:
+            task.run = run.run
+            task.state = active.TaskState.PLACED
+            job.started = True
+        else:
+            stop = scheduling.Stop(worker.epoch, run.task, run.run)
+            self._send(worker.peer, stop)
+
+    def _find_size(
+        self, worker: worker_lib.Worker, run: scheduling.Run
+    ) -> scheduling.Step:
+        if run.cpu >= 0 or worker.runner is None:
+            return scheduling.Step(1, max(run.cpu, 0), run.memory_mb, run.gpu)
+        runner = worker.runner
+        return scheduling.Step(1, runner.cpu, runner.memory_mb, runner.gpu)
+
+    def _remove_worker(
+        self, worker: worker_lib.Worker, reason: str, now: float
+    ) -> None:
+        del self.workers[worker.side]
+        eliot.log_message(
+            "owner:worker-lost",
+            side=worker.side,
+            epoch=worker.epoch,
+            reason=reason,
+            runs=len(worker.runs),
+            lease_age_ms=round((now - worker.granted_at) * 1000),
+        )
+        for placed in worker.runs.values():
+            self._return_task(placed)
+
+    def _return_task(self, placed: worker_lib.Placed) -> None:
+        self._memory.note_run(placed.task, placed.run)
+        task = self._find_task(placed.task)
+        if task is None or task.run != placed.run:
+            return
+        if task.state is active.TaskState.PLACED:
+            task.state = active.TaskState.WAITING
+
+    def _find_task(self, name: str) -> active.Task | None:
+        job = self.jobs.get(active.find_job_id(name))
+        return job.find_task(name) if job else None
+
+    def _find_worker(self, epoch: int) -> worker_lib.Worker | None:
+        for worker in self.workers.values():
+            if worker.epoch == epoch:
+                return worker
+        return None
+
+    def _drop_waiters(
+        self, is_gone: t.Callable[[active.Waiter], bool], now: float
+    ) -> None:
+        for job in self.jobs.values():
+            if any(is_gone(waiter) for waiter in job.waiters):
+                job.waiters = [w for w in job.waiters if not is_gone(w)]
+                if not job.waiters:
+                    job.left_at = now
+
+    def _reply(
+        self,
+        waiter: active.Waiter,
+        verdict: scheduling.Verdict,
+        detail: str = "",
+        retry_after_ms: int = 0,
+    ) -> None:
+        reply = scheduling.Reply(
+            waiter.request, verdict, detail, retry_after_ms
+        )
+        self._send(waiter.peer, reply)
+
+    def _send(self, peer: session_lib.Endpoint, message: t.Any) -> None:
+        self.outbox.append(Outgoing(peer, message))
--- /dev/null
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -0,0 +1,139 @@
+"""The owner's view of one side process and its runner."""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import speed as speed_lib
+from skylarkcleat.wire import session as session_lib
+
+
+class Phase(enum.Enum):
+    """What may be sent to a side process."""
+
+    REPORTING = "reporting"
+    READY = "ready"
+
+
+class Placed(t.NamedTuple):
+    """A run that was ordered and whose end is not known.
+
+    Attributes:
+        task: The task's name.
+        run: Its number.
+        step: What it takes.
+        started_at: When it was ordered, in seconds.
+        expected_s: How long it was expected to take.
+    """
+
+    task: str
+    run: int
+    step: scheduling.Step
+    started_at: float
+    expected_s: float
+
+
+class Worker:
+    """One side process under one lease.
+
+    Attributes:
+        side: The side process's name.
+        peer: Its incarnation.
+        epoch: The fencing token of its lease.
+        zone: Its availability zone.
+        runner: What its runner last said; None before that.
+        phase: Whether its report has come.
+        granted_at: When the lease was last prolonged, in seconds.
+        runs: What runs there, by task.
+        speed: How fast the runner is.
+    """
+
+    def __init__(
+        self,
+        register: scheduling.Register,
+        peer: session_lib.Endpoint,
+        epoch: int,
+        now: float,
+        speed: speed_lib.Speed,
+    ) -> None:
+        self.side = register.side
+        self.peer = peer
+        self.epoch = epoch
+        self.zone = register.zone
+        self.runner = register.runner
+        self.phase = Phase.REPORTING
+        self.granted_at = now
+        self.runs: dict[str, Placed] = {}
+        self.speed = speed
+        self._cpu = 0
+        self._memory_mb = 0
+        self._gpu = 0
+
+    @property
+    def expires_at(self) -> float:
+        """When nothing started under the lease can still run."""
+        return lease.find_expiry(self.granted_at)
+
+    @property
+    def rack(self) -> str:
+        """The rack of the runner: its last label."""
+        if self.runner is None or not self.runner.labels:
+            return ""
+        return self.runner.labels[-1]
+
+    def is_open(self, now: float) -> bool:
+        """Returns whether tasks may be sent."""
+        if self.phase is not Phase.READY or self.runner is None:
+            return False
+        return not self.runner.draining and now < (
+            self.granted_at + lease.LEASE_S / 2
+        )
+
+    def fits(self, step: scheduling.Step) -> bool:
+        """Returns whether the runner has room for a task of a step."""
+        runner = self.runner
+        return (
+            self._cpu + step.cpu <= runner.cpu
+            and self._memory_mb + step.memory_mb <= runner.memory_mb
+            and self._gpu + step.gpu <= runner.gpu
+        )
+
+    def could_run(self, upstream: str, step: scheduling.Step) -> bool:
+        """Returns whether an idle runner of this kind could run a task."""
+        runner = self.runner
+        return (
+            runner is not None
+            and runner.upstream == upstream
+            and step.cpu <= runner.cpu
+            and step.memory_mb <= runner.memory_mb
+            and step.gpu <= runner.gpu
+            and (not step.requirement or step.requirement in runner.labels)
+        )
+
+    def add(self, placed: Placed) -> None:
+        """Takes in that a task was ordered."""
+        self.runs[placed.task] = placed
+        self._count(placed.step, 1)
+
+    def remove(self, task: str, run: int) -> Placed | None:
+        """Takes in that a run is over, and returns it if it was known."""
+        placed = self.runs.get(task)
+        if placed is None or placed.run != run:
+            return None
+        del self.runs[task]
+        self._count(placed.step, -1)
+        return placed
+
+    def find_free_share(self) -> float:
+        """Returns the share of the processor that is free, from 0 to 1."""
+        if self.runner is None or self.runner.cpu <= 0:
+            return 0.0
+        return 1 - self._cpu / self.runner.cpu
+
+    def _count(self, step: scheduling.Step, sign: int) -> None:
+        self._cpu += sign * step.cpu
+        self._memory_mb += sign * step.memory_mb
+        self._gpu += sign * step.gpu
--- /dev/null
+++ b/src/skylarkcleat/side/process.py
@@ -0,0 +1,355 @@
+"""The side process: its lease, its runner's reports and the runs there."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing as t
+
+import eliot
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat.discovery import knowledge as knowledge_lib
+from skylarkcleat.platform import runner_body
+from skylarkcleat.platform import runner_client
+from skylarkcleat.platform import runner_reports
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import locating
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import ledger as ledger_lib
+from skylarkcleat.scheduling import tenure as tenure_lib
+from skylarkcleat.side import runner_clock
+from skylarkcleat.wire import event as event_lib
+from skylarkcleat.wire import hub as hub_lib
+
+WAIT_MS = 300
+"""How long a look at the runner waits for an end, in milliseconds."""
+
+PAUSE_S = 0.02
+UNNOTED_PAUSE_S = 0.1
+"""How long to wait for the owner's note of ends before looking again."""
+
+PROBE_S = 0.5
+"""How often a runner that does not answer is tried."""
+
+UNANSWERED_S = 0.6
+"""Without the owner's answer for so long, other fronts are asked for it."""
+
+
+class SideProcess(runner_reports.RunnerListener):
+    """Everything that a side process does, but for its HTTP server."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        hub: hub_lib.Hub,
+        client: runner_client.RunnerClient,
+    ) -> None:
+        self._settings = settings
+        self._hub = hub
+        self._client = client
+        self._port = settings.port_range[0]
+        seeds = settings_lib.list_seed_ips(settings)
+        self._knowledge = knowledge_lib.Knowledge(seeds, random.Random())
+        self._tenure = tenure_lib.Tenure()
+        self._ledger = ledger_lib.Ledger()
+        self._clock = runner_clock.RunnerClock()
+        self._reported_epoch = 0
+        self._answered_at = 0.0
+        self._held_at = 0.0
+        self._sequence = 0
+        self._is_lost = False
+        self._wake = asyncio.Event()
+        self._calls: set[asyncio.Task] = set()
+
+    def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
+        """Returns what has to run while the process does."""
+        return [self._listen(), self._keep_lease(), self._keep_runs()]
+
+    def take_heartbeat(self, heartbeat: runner_body.Heartbeat) -> None:
+        """Takes in a heartbeat of the runner."""
+        runner = heartbeat.runner
+        known = self._ledger.runner
+        if known is not None and self._is_stale(heartbeat, known):
+            return
+        self._sequence = heartbeat.sequence
+        if known is not None and (
+            (known.id, known.born_ms) == (runner.id, runner.born_ms)
+            and known.draining
+        ):
+            runner = runner._replace(draining=True)
+        if known != runner:
+            eliot.log_message(
+                "side:runner",
+                runner=runner.id,
+                born_ms=runner.born_ms,
+                draining=runner.draining,
+                cpu=runner.cpu,
+            )
+        if self._ledger.take_runner(runner):
+            self._clock.reset()
+            self._tenure.epoch = 0
+        changed = known is None or known.draining != runner.draining
+        if changed and self._tenure.is_valid(self._now()):
+            self._renew()
+        self._wake.set()
+
+    def _is_stale(
+        self, heartbeat: runner_body.Heartbeat, known: scheduling.Runner
+    ) -> bool:
+        runner = heartbeat.runner
+        if runner.born_ms != known.born_ms:
+            return runner.born_ms < known.born_ms
+        return runner.id == known.id and heartbeat.sequence <= self._sequence
+
+    def take_leave(self, runner: str) -> None:
+        """Takes in that the runner ends."""
+        known = self._ledger.runner
+        if known is not None and known.id == runner:
+            self._ledger.runner = known._replace(draining=True)
+
+    async def close(self) -> None:
+        """Lets the runs outlive a restart of this process."""
+        if self._tenure.is_valid(self._now()):
+            await self._look(0)
+        for call in list(self._calls):
+            call.cancel()
+
+    def _now(self) -> float:
+        return clock_lib.read_monotonic()
+
+    def _send(self, name: str, message: t.NamedTuple) -> None:
+        self._hub.send_any(name, f"tcp://{name}:{self._port}", message)
+
+    async def _listen(self) -> None:
+        while True:
+            event = await self._hub.events.get()
+            if isinstance(event, event_lib.Received):
+                self._receive(event.peer.name, event.message)
+
+    def _receive(self, sender: str, message: t.Any) -> None:
+        if isinstance(message, locating.View):
+            if self._knowledge.merge(sender, message, self._now()):
+                self._answered_at = self._now()
+                self._register()
+        elif isinstance(message, scheduling.Grant):
+            self._take_grant(message)
+        elif isinstance(message, scheduling.Renewed):
+            self._answered_at = self._now()
+            self._tenure.renew(message.epoch, message.sent_at)
+        elif isinstance(message, scheduling.Unregistered):
+            if message.epoch == self._tenure.epoch:
+                self._register()
+        elif message.epoch == self._tenure.epoch:
+            self._take_order(message)
+
+    def _take_grant(self, grant: scheduling.Grant) -> None:
+        self._answered_at = self._now()
+        if self._tenure.grant(grant.epoch, grant.sent_at):
+            # A former process may have let its runs go on until just now.
+            self._held_at = self._now()
+            eliot.log_message(
+                "side:lease", epoch=grant.epoch, owner=self._knowledge.owner
+            )
+            self._spawn(self._report())
+
+    def _take_order(self, message: t.Any) -> None:
+        if isinstance(message, scheduling.Start):
+            self._take_start(message)
+        elif isinstance(message, scheduling.Stop):
+            self._spawn(self._stop(message))
+        elif isinstance(message, scheduling.Noted):
+            self._ledger.note_noted(message.number)
+            self._wake.set()
+
+    def _take_start(self, order: scheduling.Start) -> None:
+        if not self._tenure.is_valid(self._now()):
+            return
+        reason = self._ledger.admit(order)
+        if reason:
+            self._refuse(order, reason)
+        else:
+            self._spawn(self._start(order))
+
+    def _refuse(self, order: scheduling.Start, reason: str) -> None:
+        eliot.log_message(
+            "side:refused", task=order.task, run=order.run, reason=reason
+        )
+        refusal = scheduling.NotStarted(
+            order.epoch, order.task, order.run, reason
+        )
+        self._send(self._knowledge.owner, refusal)
+
+    async def _start(self, order: scheduling.Start) -> None:
+        deadline = self._find_deadline()
+        if deadline is None:
+            self._ledger.note_refused(order.task, order.run)
+            self._refuse(order, "no-clock")
+            return
+        sent_at = self._now()
+        self._held_at = sent_at
+        answer = await self._client.start(
+            order, deadline, self._ledger.runner.id
+        )
+        self._clock.note(answer.clock_ms, self._now())
+        if answer.status == 200:
+            self._ledger.note_started(order.task, order.run, self._now())
+        elif answer.status == runner_client.UNANSWERED:
+            expires_at = sent_at + self._hold_s * (1 + lease.CLOCK_DRIFT) + 0.05
+            self._ledger.note_unanswered(
+                order.task, order.run, self._now(), expires_at
+            )
+            await self._resolve(order)
+        else:
+            self._ledger.note_refused(order.task, order.run)
+            reason = answer.reason or f"status-{answer.status}"
+            self._refuse(order, reason)
+
+    async def _resolve(self, order: scheduling.Start) -> None:
+        """Stops a start that got no answer, unless the task runs."""
+        eliot.log_message(
+            "side:start-unanswered", task=order.task, run=order.run
+        )
+        await self._look(0)
+        known = self._ledger.runs.get(order.task)
+        if known is None or known.run != order.run:
+            return
+        if known.state is ledger_lib.RunState.UNKNOWN:
+            stop = scheduling.Stop(order.epoch, order.task, order.run)
+            await self._stop(stop)
+            await self._look(0)
+
+    async def _stop(self, order: scheduling.Stop) -> None:
+        runner = self._ledger.runner
+        answer = await self._client.stop(order, runner.id if runner else "")
+        if answer.status == 200:
+            self._ledger.note_stopped(order.task, order.run, self._now())
+
+    @property
+    def _hold_s(self) -> float:
+        return self._settings.bounds.max_hold_ms / 1000
+
+    def _find_deadline(self) -> int | None:
+        now = self._now()
+        hold_s = min(self._hold_s, self._tenure.find_left(now))
+        return self._clock.find_time(now, hold_s)
+
+    async def _report(self) -> None:
+        epoch = self._tenure.epoch
+        if await self._look(0) is None or epoch != self._tenure.epoch:
+            return
+        self._reported_epoch = epoch
+
+    async def _look(self, wait_ms: int) -> ledger_lib.News | None:
+        """Asks the runner for its runs and tells the owner what changed."""
+        epoch = self._tenure.epoch
+        asked_at = self._now()
+        deadline = self._find_deadline()
+        if deadline is not None:
+            self._held_at = asked_at
+        runner = self._ledger.runner
+        held = await self._client.hold(
+            epoch,
+            self._ledger.noted,
+            deadline,
+            wait_ms,
+            runner.id if runner else "",
+        )
+        if held is None or epoch != self._tenure.epoch:
+            return None
+        self._clock.note(held.clock_ms, self._now())
+        self._is_lost = False
+        news = self._ledger.take_look(runner_body.create_look(held, asked_at))
+        self._tell(epoch, news)
+        return news
+
+    def _tell(self, epoch: int, news: ledger_lib.News) -> None:
+        owner = self._knowledge.owner
+        if self._reported_epoch != epoch:
+            self._reported_epoch = epoch
+            running = self._ledger.list_running()
+            self._send(owner, scheduling.Report(epoch, running, news.ends))
+            return
+        if news.ends:
+            self._send(owner, scheduling.Ended(epoch, news.ends))
+        for known in news.missing:
+            gone = scheduling.NotStarted(epoch, known.task, known.run, "gone")
+            self._send(owner, gone)
+
+    async def _keep_runs(self) -> None:
+        while True:
+            self._wake.clear()
+            if not self._tenure.is_valid(self._now()):
+                await asyncio.sleep(PAUSE_S)
+                continue
+            news = await self._look(WAIT_MS)
+            if news is None:
+                await self._note_silence()
+            elif self._ledger.has_unnoted_ends:
+                await self._wait(UNNOTED_PAUSE_S)
+
+    async def _note_silence(self) -> None:
+        lapsed_at = self._held_at + self._hold_s * (1 + lease.CLOCK_DRIFT)
+        lapsed_at += lease.EXPIRY_SLACK_S
+        if self._now() < lapsed_at:
+            await asyncio.sleep(PAUSE_S)
+            return
+        if not self._is_lost and self._tenure.epoch:
+            eliot.log_message("side:runner-lost", epoch=self._tenure.epoch)
+            lost = scheduling.RunnerLost(self._tenure.epoch)
+            self._send(self._knowledge.owner, lost)
+            self._is_lost = True
+            self._tenure.epoch = 0
+            self._clock.reset()
+            self._ledger.runs.clear()
+        await self._wait(PROBE_S)
+
+    async def _wait(self, timeout_s: float) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    async def _keep_lease(self) -> None:
+        while True:
+            now = self._now()
+            if now - self._answered_at > UNANSWERED_S:
+                self._locate(now)
+            if self._tenure.is_valid(now):
+                self._renew()
+            elif not self._is_lost or self._wake.is_set():
+                self._register()
+            await asyncio.sleep(lease.RENEW_S)
+
+    def _locate(self, now: float) -> None:
+        for name in self._knowledge.choose_targets("", now):
+            self._send(name, locating.Hello(None))
+
+    def _register(self) -> None:
+        owner = self._knowledge.owner
+        if not owner:
+            return
+        register = scheduling.Register(
+            self._settings.ip,
+            self._settings.zone,
+            self._ledger.runner,
+            self._now(),
+        )
+        self._send(owner, register)
+
+    def _renew(self) -> None:
+        renew = scheduling.Renew(
+            self._tenure.epoch, self._now(), self._ledger.runner
+        )
+        self._send(self._knowledge.owner, renew)
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        task = asyncio.create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._end_call)
+
+    def _end_call(self, task: asyncio.Task) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            eliot.log_message("side:call-failed", reason=repr(task.exception()))
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -57,7 +57,7 @@
         self._stamper = stamper
         self._inbox = inbox_lib.Inbox(codec, stamper, mailbox)
         self._links: dict[str, link_lib.Link] = {}
-        self._dirty: set[str] = set()
+        self._dirty: set[tuple[str, bool]] = set()
         self._flush_scheduled = False
         self._context = zmq.asyncio.Context()
         self._acceptor: acceptor_lib.Acceptor | None = None
@@ -135,28 +135,59 @@
             None, or why the message was not taken: it will not arrive.
         """
         name = peer.name
-        session = self._find_session(name)
-        if session is None or session.remote.incarnation != peer.incarnation:
-            return session_lib.Overflow(
-                name, f"no session with incarnation {peer.incarnation}"
-            )
+        for is_link in (True, False):
+            session = self._get_session(name, is_link)
+            if session is not None and session.remote == peer:
+                return self._push(session, message, is_link)
+        return session_lib.Overflow(
+            name, f"no session with incarnation {peer.incarnation}"
+        )
+
+    def send_any(
+        self, name: str, address: str, message: codec_lib.Message
+    ) -> session_lib.Overflow | None:
+        """Queues a message for whichever incarnation answers.
+
+        Args:
+            name: The peer's name.
+            address: The peer's `tcp://ip:port`; connected to if need be.
+            message: What to send.
+
+        Returns:
+            None, or why the message was not taken: it will not arrive.
+        """
+        if name not in self._links:
+            self.connect(session_lib.Endpoint(name, 0), address)
+        return self._push(self._links[name].session, message, True)
+
+    def _push(
+        self,
+        session: session_lib.Session,
+        message: codec_lib.Message,
+        is_link: bool,
+    ) -> session_lib.Overflow | None:
         kind, body = self._codec.encode(message)
         refusal = session.push(kind, body)
         if refusal is None:
             self.messages_sent[kind] += 1
-            self._schedule_flush(name)
+            self._schedule_flush(session.remote.name, is_link)
         return refusal
 
-    def _find_session(self, name: str) -> session_lib.Session | None:
+    def _get_session(
+        self, name: str, is_link: bool
+    ) -> session_lib.Session | None:
+        if not is_link:
+            acceptor = self._acceptor
+            return acceptor.find_session(name) if acceptor else None
         link = self._links.get(name)
-        if link is not None:
-            return link.session
-        if self._acceptor is None:
-            return None
-        return self._acceptor.find_session(name)
+        return link.session if link is not None else None
+
+    def _find_session(self, name: str) -> session_lib.Session | None:
+        found = self._get_session(name, True)
+        return found or self._get_session(name, False)
 
-    def _schedule_flush(self, name: str) -> None:
-        self._dirty.add(name)
+    def _schedule_flush(self, name: str, is_link: bool) -> None:
+        self._dirty.add((name, is_link))
         if not self._flush_scheduled:
             self._flush_scheduled = True
             asyncio.get_running_loop().call_soon(self._flush)
@@ -165,21 +196,22 @@
         self._flush_scheduled = False
         dirty, self._dirty = self._dirty, set()
         now = clock_lib.read_monotonic()
-        for name in dirty:
-            session = self._find_session(name)
+        for name, is_link in dirty:
+            session = self._get_session(name, is_link)
             if session is not None:
                 frames = session.collect(now, self._stamper.read())
-                self._write(name, frames)
+                self._write(name, is_link, frames)
 
     def _write(
-        self, name: str, frames: collections.abc.Sequence[frame_lib.Frame]
+        self,
+        name: str,
+        is_link: bool,
+        frames: collections.abc.Sequence[frame_lib.Frame],
     ) -> None:
         self.frames_sent += len(frames)
-        link = self._links.get(name)
-        if link is not None:
-            link.write(frames)
-            return
-        if self._acceptor is not None:
+        if is_link:
+            self._links[name].write(frames)
+        elif self._acceptor is not None:
             self._acceptor.write(name, frames)
 
     def _open_link(self, peer: session_lib.Endpoint, address: str) -> None:
