Tell a new owner what former ones may have started

Change: a resent submission says that it was sent before; a new owner announces itself; elections after 0.3 s; jobs leave the backlog when they have nothing to start; a waiting job never waits for a faster runner. Conclusion: LOST still breaks: jobs called failed by a new owner, requests cut at the end of a drain.

--- a/src/skylarkcleat/cli/daemons.py
+++ b/src/skylarkcleat/cli/daemons.py
@@ -9,6 +9,7 @@
 import zmq
 
 from skylarkcleat import daemon
+from skylarkcleat import problem as problem_lib
 from skylarkcleat.agent import service as agent_service
 from skylarkcleat.cli import exit_code
 from skylarkcleat.control import service as control_service
@@ -16,7 +17,6 @@
 from skylarkcleat.settings import agent as agent_settings
 from skylarkcleat.settings import control as control_settings
 from skylarkcleat.settings import entry as entry_settings
-from skylarkcleat.settings import problem as problem_lib
 from skylarkcleat.standin import service as runner_service
 
 SettingsPath = t.Annotated[
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -29,11 +29,13 @@
         store: store_lib.Store,
         log: driver_lib.LogDriver | None,
         send: t.Callable[[session_lib.Endpoint, t.Any], None],
+        announce: t.Callable[[t.Iterable[str]], None],
     ) -> None:
         self._me = me
         self._store = store
         self._log = log
         self._send = send
+        self._announce = announce
         self._owner: owner_lib.Owner | None = None
         self._adding: set[str] = set()
         self._proposals: set[asyncio.Task] = set()
@@ -100,6 +102,7 @@
             )
             now = clock_lib.read_monotonic()
             self._owner = owner_lib.Owner(answer.index, sides, now)
+            self._announce(sides)
 
     def _tick(self) -> None:
         now = clock_lib.read_monotonic()
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -54,12 +54,12 @@
         seeds = settings_lib.list_seed_ips(settings)
         self._knowledge = knowledge_lib.Knowledge(seeds, random.Random())
         self._requests = requests_lib.Requests(self._send_to_owner)
-        self._ownership = ownership_lib.Ownership(
-            self._me, store, log, self._send
-        )
         self._rendezvous = rendezvous_lib.Rendezvous(
             settings, self._knowledge, log, self._send_any
         )
+        self._ownership = ownership_lib.Ownership(
+            self._me, store, log, self._send, self._rendezvous.announce
+        )
         self._draining = False
 
     def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
@@ -84,24 +84,29 @@
     ) -> scheduling.Reply:
         """Answers once the job has ended or is refused."""
 
-        def build(number: int, age_s: float) -> scheduling.Submit:
+        def build(
+            number: int, age_s: float, was_sent: bool
+        ) -> scheduling.Submit:
             waited_ms = round(age_s * 1000)
             return scheduling.Submit(
-                number, host, path, job, waited_ms, patience_ms
+                number, host, path, job, waited_ms, patience_ms, was_sent
             )
 
         timeout_s = max(patience_ms / 1000 - SUBMIT_MARGIN_S, SUBMIT_MARGIN_S)
-        return await self._requests.call(build, timeout_s)
+        unsent_s = sum(step.estimate_ms for step in job.steps) / 1000
+        return await self._requests.call(
+            build, timeout_s, min(unsent_s, timeout_s)
+        )
 
     async def ask(
         self, host: str, path: str, job: str, cancel: bool
     ) -> scheduling.Reply:
         """Answers about a job or a queue."""
 
-        def build(number: int, _: float) -> scheduling.Ask:
+        def build(number: int, _age_s: float, _: bool) -> scheduling.Ask:
             return scheduling.Ask(number, host, path, job, cancel)
 
-        return await self._requests.call(build, ASK_TIMEOUT_S)
+        return await self._call(build, ASK_TIMEOUT_S)
 
     async def put_configuration(
         self, configuration: content.Configuration
@@ -109,24 +114,33 @@
         """Answers once the configuration is durable."""
         data = content.encode(configuration)
 
-        def build(number: int, _: float) -> scheduling.PutConfiguration:
+        def build(
+            number: int, _age_s: float, _: bool
+        ) -> scheduling.PutConfiguration:
             return scheduling.PutConfiguration(
                 number, configuration.version, data
             )
 
-        return await self._requests.call(build, OPERATOR_TIMEOUT_S)
+        return await self._call(build, OPERATOR_TIMEOUT_S)
 
     async def read_configuration(self) -> content.Configuration | None:
         """Returns the newest configuration; None if that is not certain."""
 
-        def build(number: int, _: float) -> scheduling.ReadConfiguration:
+        def build(
+            number: int, _age_s: float, _: bool
+        ) -> scheduling.ReadConfiguration:
             return scheduling.ReadConfiguration(number)
 
-        reply = await self._requests.call(build, OPERATOR_TIMEOUT_S)
+        reply = await self._call(build, OPERATOR_TIMEOUT_S)
         if reply.verdict is not scheduling.Verdict.ACCEPTED:
             return None
         return content.decode(reply.content)
 
+    async def _call(
+        self, build: requests_lib.Build, timeout_s: float
+    ) -> scheduling.Reply:
+        return await self._requests.call(build, timeout_s, timeout_s)
+
     async def drain(self) -> None:
         """Stops being ready and waits for the requests that are open."""
         self._draining = True
--- a/src/skylarkcleat/front/rendezvous.py
+++ b/src/skylarkcleat/front/rendezvous.py
@@ -74,6 +74,15 @@
             self._knowledge.hear(message.me, now)
         return self._describe(now)
 
+    def announce(self, sides: t.Iterable[str]) -> None:
+        """Tells all fronts, and side processes, that this front leads."""
+        now = clock_lib.read_monotonic()
+        self._note_leader()
+        view = self._describe(now)
+        fronts = [ref.name for ref in self._knowledge.list_fronts(now)]
+        for name in {*sides, *fronts} - {self._me}:
+            self._send(name, view)
+
     def _ask(self, now: float) -> None:
         hello = locating.Hello(self._describe_me())
         self._knowledge.hear(self._describe_me(), now)
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -8,8 +8,9 @@
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.protocol import scheduling
 
-Build = t.Callable[[int, float], t.NamedTuple]
-"""Makes a request's message from its number and its age in seconds."""
+Build = t.Callable[[int, float, bool], t.NamedTuple]
+"""Makes a request's message from its number, its age in seconds, and whether
+it was sent to an owner before."""
 
 Send = t.Callable[[t.NamedTuple], bool]
 """Sends a message to the owner; returns whether there is one."""
@@ -24,6 +25,8 @@
         self.was_sent = False
         self.reply: asyncio.Future[scheduling.Reply]
         self.reply = asyncio.get_running_loop().create_future()
+        self.sent: asyncio.Future[None]
+        self.sent = asyncio.get_running_loop().create_future()
 
 
 class Requests:
@@ -38,12 +41,15 @@
         """Returns how many requests are open."""
         return len(self._open)
 
-    async def call(self, build: Build, timeout_s: float) -> scheduling.Reply:
+    async def call(
+        self, build: Build, timeout_s: float, unsent_timeout_s: float
+    ) -> scheduling.Reply:
         """Sends a request and waits for the reply.
 
         Args:
             build: Makes the message.
             timeout_s: How long to wait, in seconds.
+            unsent_timeout_s: How long to wait for an owner to be known.
 
         Returns:
             The reply. Without one the verdict is `NOT_RUN` if the request
@@ -55,6 +61,10 @@
         self._open[number] = opened
         try:
             self._forward(number, opened)
+            if not opened.was_sent:
+                await asyncio.wait([opened.sent], timeout=unsent_timeout_s)
+            if not opened.was_sent:
+                return self._describe_timeout(number, opened)
             return await asyncio.wait_for(opened.reply, timeout_s)
         except TimeoutError:
             return self._describe_timeout(number, opened)
@@ -80,8 +90,10 @@
 
     def _forward(self, number: int, opened: _Open) -> None:
         age_s = clock_lib.read_monotonic() - opened.begun_at
-        if self._send(opened.build(number, age_s)):
+        message = opened.build(number, age_s, opened.was_sent)
+        if self._send(message) and not opened.was_sent:
             opened.was_sent = True
+            opened.sent.set_result(None)
 
     def _describe_timeout(self, number: int, opened: _Open) -> scheduling.Reply:
         if opened.was_sent:
--- a/src/skylarkcleat/platform/__main__.py
+++ b/src/skylarkcleat/platform/__main__.py
@@ -4,8 +4,8 @@
 
 import sys
 
+from skylarkcleat import problem as problem_lib
 from skylarkcleat.platform import daemons
-from skylarkcleat.settings import problem as problem_lib
 
 USAGE_STATUS = 2
 _ROLES = {"front": daemons.run_front, "side": daemons.run_side}
--- a/src/skylarkcleat/platform/daemons.py
+++ b/src/skylarkcleat/platform/daemons.py
@@ -17,6 +17,7 @@
 from skylarkcleat import logs
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
+from skylarkcleat.consensus import limits
 from skylarkcleat.consensus import settings as log_settings
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import ingress as ingress_lib
@@ -35,6 +36,9 @@
     *t.get_args(scheduling.FrontMessage),
     *t.get_args(scheduling.SideMessage),
 )
+LOG_LIMITS = limits.Limits(heartbeat_s=0.06, election_s=0.3)
+"""Callers wait while no front leads; a round trip takes 2 ms."""
+
 _SHUTDOWN_S = 0.1
 
 
@@ -161,6 +165,7 @@
             folder=pathlib.Path(settings.data_dir),
             bind=f"tcp://{settings.ip}:{settings.port_range[0] + 1}",
             is_open=True,
+            limits=LOG_LIMITS,
         ),
         store,
         random.Random(),
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from skylarkcleat.settings import problem as problem_lib
+from skylarkcleat import problem as problem_lib
 
 PATH_VARIABLE = "SKYLARKCLEAT_SETTINGS"
 
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -82,6 +82,7 @@
         job: The job.
         waited_ms: How long ago the caller sent it, in milliseconds.
         patience_ms: How long the caller waits for an answer, in milliseconds.
+        was_sent: Whether a former owner may have started tasks of it.
     """
 
     request: int
@@ -90,6 +91,7 @@
     job: Job
     waited_ms: int
     patience_ms: int
+    was_sent: bool
 
 
 class Abandon(t.NamedTuple):
--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -64,6 +64,7 @@
         expected_s: The expected time of its longest chain of steps.
         objective_s: What the whole job may take, in seconds.
         started: Whether any task was ever ordered to start.
+        may_have_run: Whether a former owner may have started a task.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         target_s = queue.latency_target_ms / 1000
         self.objective_s = queue.stretch * self.expected_s + target_s
         self.started = False
+        self.may_have_run = False
 
     @property
     def due_at(self) -> float:
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -24,7 +24,7 @@
 
 
 class Backlog:
-    """Jobs that may have tasks to start."""
+    """Jobs that have tasks to start."""
 
     def __init__(self) -> None:
         self._timely: sortedcontainers.SortedList[_Entry]
@@ -39,7 +39,9 @@
         return len(self._jobs)
 
     def add(self, job: active.ActiveJob) -> None:
-        """Adds a job."""
+        """Adds a job, unless it is there."""
+        if job.job.id in self._jobs:
+            return
         self._number += 1
         entry = _Entry(job.latest_start, self._number, job.job.id)
         self._jobs[job.job.id] = (job, entry)
@@ -66,10 +68,10 @@
         blocked = 0
         for entry in [*self._timely, *self._late]:
             job = self._jobs[entry.job][0]
-            if not job.list_waiting():
+            if place(job):
+                self.remove(job)
                 continue
-            if not place(job):
-                blocked += 1
+            blocked += 1
             if blocked >= MAX_BLOCKED:
                 return
 
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -68,6 +68,7 @@
         self._estimates = speed_lib.Estimates()
         self._backlog = backlog_lib.Backlog()
         self._memory = memory_lib.Memory(now)
+        self._is_changed = False
 
     @property
     def is_settled(self) -> bool:
@@ -88,6 +89,7 @@
         if known is not None:
             known.waiters.append(waiter)
             known.left_at = None
+            self._queue(known)
             return
         verdict = self._memory.find_verdict(job.id)
         if verdict is not None:
@@ -100,10 +102,11 @@
         submitted_at = now - message.waited_ms / 1000
         added = active.ActiveJob(job, queue, submitted_at, step_s)
         added.waiters.append(waiter)
+        added.may_have_run = message.was_sent
         self.jobs[job.id] = added
         self._adopt(added)
         if not self._end_if_done(added, now):
-            self._backlog.add(added)
+            self._queue(added)
 
     def abandon(
         self, peer: session_lib.Endpoint, request: int, now: float
@@ -163,6 +166,7 @@
         for run in running.values():
             self._take_running(worker, run, now)
         worker.phase = worker_lib.Phase.READY
+        self._is_changed = True
 
     def renew(
         self,
@@ -176,8 +180,9 @@
             self._send(peer, scheduling.Unregistered(message.epoch))
             return
         worker.granted_at = now
-        if message.runner is not None:
+        if message.runner != worker.runner and message.runner is not None:
             worker.runner = message.runner
+            self._is_changed = True
         self._send(peer, scheduling.Renewed(message.epoch, message.sent_at))
 
     def end_runs(self, message: scheduling.Ended, now: float) -> None:
@@ -210,12 +215,13 @@
             self._remove_worker(worker, "its runner does not answer", now)
 
     def tick(self, now: float) -> list[str]:
-        """Lets time pass.
+        """Lets time pass; called several times a second.
 
         Returns:
             The side processes whose leases ended.
         """
         self._memory.forget(now)
+        self._is_changed = True
         expired = [
             each for each in self.workers.values() if now >= each.expires_at
         ]
@@ -229,9 +235,10 @@
         return [worker.side for worker in expired]
 
     def place(self, now: float) -> None:
-        """Starts what can start."""
-        if not self.is_settled:
+        """Starts what can start, if anything has changed since last time."""
+        if not self.is_settled or not self._is_changed:
             return
+        self._is_changed = False
         workers = [each for each in self.workers.values() if each.is_open(now)]
         self._backlog.place(now, lambda job: self._place_job(job, workers, now))
 
@@ -243,8 +250,7 @@
     ) -> bool:
         if job.left_at is not None:
             return False
-        waiting = job.list_waiting()
-        for task in waiting:
+        for task in job.list_waiting():
             step = job.job.steps[task.step]
             base_s = self._estimates.expect(job.queue.name, step.estimate_ms)
             choice = placement.choose_worker(job, task, base_s, workers, now)
@@ -285,6 +291,7 @@
         ends: t.Sequence[scheduling.End],
         now: float,
     ) -> None:
+        self._is_changed = True
         for end in ends:
             placed = worker.remove(end.task, end.run)
             self._end_run(worker, end, placed, now)
@@ -312,6 +319,7 @@
             task.state = active.TaskState.DONE
         elif task.state is active.TaskState.PLACED:
             task.state = active.TaskState.WAITING
+        self._queue(job)
         if end.ending is scheduling.Ending.FAILED:
             task.failures += 1
             task.shunned.add(worker.side)
@@ -389,7 +397,10 @@
                 self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
         elif not job.started and now + job.expected_s >= job.useless_at:
             detail = "no runner had room in time"
-            self._end_job(job, scheduling.Verdict.NOT_RUN, detail, now)
+            verdict = scheduling.Verdict.NOT_RUN
+            if job.may_have_run:
+                verdict = scheduling.Verdict.FAILED
+            self._end_job(job, verdict, detail, now)
 
     def _adopt(self, job: active.ActiveJob) -> None:
         for task in job.tasks:
@@ -455,6 +466,12 @@
             return
         if task.state is active.TaskState.PLACED:
             task.state = active.TaskState.WAITING
+            self._queue(self.jobs[active.find_job_id(placed.task)])
+
+    def _queue(self, job: active.ActiveJob) -> None:
+        if job.list_waiting():
+            self._backlog.add(job)
+            self._is_changed = True
 
     def _find_task(self, name: str) -> active.Task | None:
         job = self.jobs.get(active.find_job_id(name))
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -13,6 +13,7 @@
 from skylarkcleat.scheduling import worker as worker_lib
 
 REMOTE_FACTOR = 1.5
+TIMELY_SHARE = 0.85
 FAILURE_HOLD_S = 1.0
 """How long a runner is passed over after each failure in a row."""
 
@@ -39,7 +40,9 @@
         None if no worker has room, or it is better to wait for another.
     """
     step = job.job.steps[task.step]
-    best: tuple[worker_lib.Worker, float] | None = None
+    left_s = (job.due_at - now) * TIMELY_SHARE
+    timely: tuple[worker_lib.Worker, float] | None = None
+    fastest: tuple[worker_lib.Worker, float] | None = None
     for worker in workers:
         if not worker.could_run(job.queue.upstream, step):
             continue
@@ -48,11 +51,11 @@
         expected = base_s * worker.speed.find_factor(now)
         if step.data_rack and worker.rack != step.data_rack:
             expected *= REMOTE_FACTOR
-        if best is None or expected < best[1]:
-            best = (worker, expected)
-    if best is None or not _is_worth_it(job, base_s, best[1], now):
-        return None
-    return best
+        if fastest is None or expected < fastest[1]:
+            fastest = (worker, expected)
+        if expected <= left_s and (timely is None or expected > timely[1]):
+            timely = (worker, expected)
+    return timely or fastest
 
 
 def _is_allowed(
@@ -75,12 +78,3 @@
     prefix = f"{job.job.id}.0.{task.step}."
     there = sum(name.startswith(prefix) for name in worker.runs)
     return there < step.max_per_runner
-
-
-def _is_worth_it(
-    job: active.ActiveJob, base_s: float, expected_s: float, now: float
-) -> bool:
-    """Returns whether to start here rather than wait for a faster runner."""
-    if now + expected_s <= job.due_at:
-        return True
-    return now + base_s > job.due_at
--- a/src/skylarkcleat/settings/__init__.py
+++ b/src/skylarkcleat/settings/__init__.py
@@ -1,5 +1,7 @@
 """Settings files: read whole at the start, every fault named in one go."""
 
+from skylarkcleat.problem import Problem as Problem
+from skylarkcleat.problem import SettingsError as SettingsError
 from skylarkcleat.settings.agent import AgentSettings as AgentSettings
 from skylarkcleat.settings.agent import (
     load_agent_settings as load_agent_settings,
@@ -13,5 +15,3 @@
 from skylarkcleat.settings.entry import (
     load_entry_settings as load_entry_settings,
 )
-from skylarkcleat.settings.problem import Problem as Problem
-from skylarkcleat.settings.problem import SettingsError as SettingsError
--- a/src/skylarkcleat/settings/_reading.py
+++ b/src/skylarkcleat/settings/_reading.py
@@ -11,7 +11,7 @@
 import pydantic
 import pydantic_core
 
-from skylarkcleat.settings import problem as problem_lib
+from skylarkcleat import problem as problem_lib
 
 Raw = dict[str, t.Any]
 Clash = tuple[str, str]
--- a/src/skylarkcleat/settings/check.py
+++ b/src/skylarkcleat/settings/check.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from skylarkcleat import problem as problem_lib
 from skylarkcleat.model import member
 from skylarkcleat.settings import _reading
 from skylarkcleat.settings import agent
 from skylarkcleat.settings import control
 from skylarkcleat.settings import entry
-from skylarkcleat.settings import problem as problem_lib
 
 _FINDERS = {
     member.Role.ENTRY: entry.find_entry_problems,
--- a/src/skylarkcleat/settings/control.py
+++ b/src/skylarkcleat/settings/control.py
@@ -8,10 +8,10 @@
 import pydantic
 import typing_extensions as te
 
+from skylarkcleat import problem as problem_lib
 from skylarkcleat.settings import _clashes
 from skylarkcleat.settings import _reading
 from skylarkcleat.settings import _values
-from skylarkcleat.settings import problem as problem_lib
 from skylarkcleat.settings import sections
 
 DEFAULT_MAX_AGE_H = 72
--- /dev/null
+++ b/tests/scheduling_world.py
@@ -0,0 +1,286 @@
+"""Loads on the owner under virtual time, with runners of differing speed."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+import typing as t
+
+from skylarkcleat.configuration import content
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.wire import session as session_lib
+
+FRONT = session_lib.Endpoint("front", 1)
+UPSTREAM = "desk"
+ORDER_S = 0.0015
+REPORT_S = 0.003
+TICK_S = 0.02
+RENEW_S = 0.25
+
+
+class Kind(t.NamedTuple):
+    """One class of jobs, as the deployments' pages describe them."""
+
+    name: str
+    per_s: float
+    width: float
+    work_s: float
+    worth: float
+    priority: int
+
+
+KINDS = (
+    Kind("stock", 17.2, 8, 0.12, 0.0291, 0),
+    Kind("fit", 3.12, 4, 1.8, 0.16, 2),
+    Kind("quote", 50.0, 2, 0.4, 0.01, 1),
+)
+
+
+class Burst(t.NamedTuple):
+    """More of one kind for a while."""
+
+    kind: str
+    at: float
+    for_s: float
+    factor: float
+
+
+class Trouble(t.NamedTuple):
+    """Runners that misbehave for a while.
+
+    Attributes:
+        runners: Which runners.
+        at: When it begins.
+        for_s: How long it lasts.
+        slower: The factor on the duration of tasks.
+        fails: Whether they fail all that they start.
+    """
+
+    runners: tuple[int, ...]
+    at: float
+    for_s: float
+    slower: float = 1.0
+    fails: bool = False
+
+
+class Load(t.NamedTuple):
+    """What is played."""
+
+    rate: float = 1.0
+    length_s: float = 30.0
+    speeds: tuple[float, ...] = (0.6, 1.0, 1.6)
+    sizes: tuple[float, ...] = (1.0, 1.0, 1.5)
+    runners: int = 11
+    bursts: tuple[Burst, ...] = ()
+    troubles: tuple[Trouble, ...] = ()
+    seed: int = 1
+
+
+class Outcome(t.NamedTuple):
+    """What one job came to."""
+
+    kind: Kind
+    verdict: scheduling.Verdict
+    took_s: float
+    objective_s: float
+    width: int
+
+
+class World:
+    """Plays a load."""
+
+    def __init__(self, load: Load) -> None:
+        self.load = load
+        self.random = random.Random(load.seed)
+        self.outcomes: list[Outcome] = []
+        self.runs: list[tuple[float, float, int, str, str]] = []
+        self.owner = owner_lib.Owner(1, (), 0.0)
+        self._events: list[tuple[float, int, t.Callable[[float], None]]] = []
+        self._count = itertools.count()
+        self._requests: dict[int, tuple[Kind, float, float, int]] = {}
+        self._works: dict[str, list[float]] = {}
+        self._epochs: dict[int, int] = {}
+        self._ends: dict[int, int] = {}
+        self._failing: set[str] = set()
+        self._queues = {kind.name: _create_queue(kind) for kind in KINDS}
+
+    def play(self) -> World:
+        for runner in range(self.load.runners):
+            self._register(runner)
+        for kind in KINDS:
+            self._at(self._draw_gap(kind, 0.0), self._arrive(kind))
+        self._at(0.0, self._tick)
+        while self._events:
+            now, _, act = heapq.heappop(self._events)
+            if now > self.load.length_s + 20:
+                break
+            act(now)
+            self.owner.place(now)
+            self._deliver(now)
+        return self
+
+    def find_worth(self, kind: str = "") -> float:
+        """Returns the share of the worth that was earned."""
+        earned = owed = 0.0
+        for each in self.outcomes:
+            if kind and each.kind.name != kind:
+                continue
+            owed += each.kind.worth
+            if each.verdict is not scheduling.Verdict.COMPLETED:
+                continue
+            if each.took_s <= each.objective_s:
+                earned += each.kind.worth
+            elif each.took_s <= 3 * each.objective_s:
+                earned += 0.2 * each.kind.worth
+        return earned / owed if owed else 1.0
+
+    def find_served(self, kind: str = "") -> float:
+        """Returns the share of the jobs that ended in time or a bit late."""
+        chosen = [o for o in self.outcomes if kind in ("", o.kind.name)]
+        served = [
+            each
+            for each in chosen
+            if each.verdict is scheduling.Verdict.COMPLETED
+            and each.took_s <= 3 * each.objective_s
+        ]
+        return len(served) / max(len(chosen), 1)
+
+    def _at(self, when: float, act: t.Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._count), act))
+
+    def _register(self, runner: int) -> None:
+        size = self.load.sizes[runner % len(self.load.sizes)]
+        described = scheduling.Runner(
+            f"i-{runner}",
+            1,
+            UPSTREAM,
+            round(64000 * size),
+            round(262144 * size),
+            0,
+            ("a", f"r1-{runner // 3}"),
+            False,
+        )
+        peer = session_lib.Endpoint(f"side-{runner}", 1)
+        register = scheduling.Register(peer.name, "z", described, 0.0)
+        self.owner.register(peer, register, 0.0)
+        epoch = self.owner.workers[peer.name].epoch
+        self._epochs[runner] = epoch
+        self._ends[runner] = 0
+        self.owner.report(scheduling.Report(epoch, (), ()), 0.0)
+        self._at(RENEW_S, self._renew(runner))
+
+    def _renew(self, runner: int) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            peer = session_lib.Endpoint(f"side-{runner}", 1)
+            renew = scheduling.Renew(self._epochs[runner], now, None)
+            self.owner.renew(peer, renew, now)
+            self._at(now + RENEW_S, self._renew(runner))
+
+        return act
+
+    def _tick(self, now: float) -> None:
+        self.owner.tick(now)
+        self._at(now + TICK_S, self._tick)
+
+    def _draw_gap(self, kind: Kind, now: float) -> float:
+        rate = kind.per_s * self.load.rate
+        for burst in self.load.bursts:
+            if burst.kind == kind.name and (
+                burst.at <= now < burst.at + burst.for_s
+            ):
+                rate *= burst.factor
+        return now + self.random.expovariate(rate)
+
+    def _arrive(self, kind: Kind) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            if now < self.load.length_s:
+                self._submit(kind, now)
+                self._at(self._draw_gap(kind, now), self._arrive(kind))
+
+        return act
+
+    def _submit(self, kind: Kind, now: float) -> None:
+        draw = self.random
+        width = max(1, round(_draw_spread(draw, kind.width, 0.4)))
+        width = min(width, round(4 * kind.width))
+        work_s = min(_draw_spread(draw, kind.work_s, 0.4), 4 * kind.work_s)
+        works = [_draw_spread(draw, work_s, 0.15) for _ in range(width)]
+        estimate_ms = round(1000 * _draw_spread(draw, work_s, 0.4))
+        cpu = min(round(_draw_spread(draw, 6200, 0.2)), 9400)
+        job_id = f"{next(self._count):016x}"
+        step = scheduling.Step(width, cpu, 64, 0, max(estimate_ms, 1))
+        job = scheduling.Job(job_id, "spec", (step,))
+        number = next(self._count)
+        objective_s = 1.6 * max(works) + 0.06
+        self._requests[number] = (kind, now, objective_s, width)
+        self._works[job_id] = works
+        submit = scheduling.Submit(number, "h", "/p/", job, 4, 10_000, False)
+        self.owner.submit(FRONT, submit, self._queues[kind.name], now)
+
+    def _deliver(self, now: float) -> None:
+        outbox, self.owner.outbox = self.owner.outbox, []
+        for outgoing in outbox:
+            message = outgoing.message
+            if isinstance(message, scheduling.Reply):
+                kind, begun, objective_s, width = self._requests.pop(
+                    message.request
+                )
+                self.outcomes.append(
+                    Outcome(
+                        kind, message.verdict, now - begun, objective_s, width
+                    )
+                )
+            elif isinstance(message, scheduling.Start):
+                runner = int(outgoing.peer.name.partition("-")[2])
+                self._start(runner, message, now + ORDER_S)
+
+    def _start(self, runner: int, start: scheduling.Start, now: float) -> None:
+        job_id, _, _, index = start.task.split(".")
+        factor = self.load.speeds[runner % len(self.load.speeds)]
+        took_s = self._works[job_id][int(index)] * factor
+        ending = scheduling.Ending.DONE
+        for trouble in self.load.troubles:
+            inside = trouble.at <= now < trouble.at + trouble.for_s
+            if runner in trouble.runners and inside:
+                took_s *= trouble.slower
+                if trouble.fails:
+                    ending = scheduling.Ending.FAILED
+                    took_s = 0.005
+        self.runs.append((now, now + took_s, runner, start.task, ending))
+        self._at(now + took_s + REPORT_S, self._end(runner, start, ending))
+
+    def _end(
+        self, runner: int, start: scheduling.Start, ending: scheduling.Ending
+    ) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            self._ends[runner] += 1
+            end = scheduling.End(
+                self._ends[runner], start.task, start.run, ending
+            )
+            self.owner.end_runs(scheduling.Ended(start.epoch, (end,)), now)
+
+        return act
+
+
+def _create_queue(kind: Kind) -> content.Queue:
+    return content.Queue(
+        kind.name, "h", "/p/", UPSTREAM, 1500, 60, kind.priority, 4, 1.6
+    )
+
+
+def _draw_spread(draw: random.Random, mean: float, spread: float) -> float:
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return mean * math.exp(draw.gauss(-sigma * sigma / 2, sigma))
+
+
+def describe(world: World) -> str:
+    """Returns the worth of each kind, for a failed test."""
+    lines = [f"all: worth {world.find_worth():.3f}"]
+    for kind in KINDS:
+        worth = world.find_worth(kind.name)
+        served = world.find_served(kind.name)
+        lines.append(f"{kind.name}: worth {worth:.3f} served {served:.3f}")
+    return "; ".join(lines)
