Answer open requests at the end of a drain; log every job's runs

Cause: a front that stopped closed channels with requests open (LOST); a new owner called jobs failed that a former one may have run (LOST); ends listed before the job was handed in again were not counted.

--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -32,7 +32,9 @@
 DRAIN_NOTICE_S = 2.2
 """The balancer takes two missed checks, a second apart, to notice."""
 
-DRAIN_MARGIN_S = 0.5
+DRAIN_SHARE = 5 / 6
+"""The part of the grace period after which open requests are answered."""
+
 _DRAIN_POLL_S = 0.05
 
 
@@ -61,6 +63,7 @@
             self._me, store, log, self._send, self._rendezvous.announce
         )
         self._draining = False
+        self._is_closed = False
 
     def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
         """Returns what has to run while the process does."""
@@ -83,6 +86,9 @@
         self, host: str, path: str, job: scheduling.Job, patience_ms: int
     ) -> scheduling.Reply:
         """Answers once the job has ended or is refused."""
+        if self._is_closed:
+            verdict = scheduling.Verdict.NOT_RUN
+            return scheduling.Reply(0, verdict, "this front is stopping")
 
         def build(
             number: int, age_s: float, was_sent: bool
@@ -148,13 +154,17 @@
         if self._log is not None:
             await self._log.resign()
         begun = clock_lib.read_monotonic()
-        limit_s = self._settings.bounds.grace_s - DRAIN_MARGIN_S
+        limit_s = self._settings.bounds.grace_s * DRAIN_SHARE
         while True:
             passed = clock_lib.read_monotonic() - begun
+            self._is_closed = passed > DRAIN_NOTICE_S
             is_idle = not len(self._requests)
-            if (passed > DRAIN_NOTICE_S and is_idle) or passed > limit_s:
-                return
+            if (self._is_closed and is_idle) or passed > limit_s:
+                break
             await asyncio.sleep(_DRAIN_POLL_S)
+        eliot.log_message("front:drained", unanswered=len(self._requests))
+        self._requests.close()
+        await asyncio.sleep(_DRAIN_POLL_S)
 
     def _send(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         if peer == self._hub.local:
@@ -186,6 +196,8 @@
     def _take(self, event: event_lib.Event) -> None:
         if isinstance(event, event_lib.Lost):
             self._ownership.lose_peer(event.peer)
+            if event.peer.name == self._knowledge.owner:
+                self._requests.send_again()
             return
         peer, message = event.peer, event.message
         if isinstance(message, locating.LocatingMessage):
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -88,6 +88,18 @@
         for number, opened in self._open.items():
             self._forward(number, opened)
 
+    def close(self) -> None:
+        """Answers every open request before the process ends."""
+        for number, opened in self._open.items():
+            if not opened.reply.done():
+                opened.reply.set_result(
+                    scheduling.Reply(
+                        number,
+                        scheduling.Verdict.UNCERTAIN,
+                        "this front stops",
+                    )
+                )
+
     def _forward(self, number: int, opened: _Open) -> None:
         age_s = clock_lib.read_monotonic() - opened.begun_at
         message = opened.build(number, age_s, opened.was_sent)
--- a/src/skylarkcleat/platform/daemons.py
+++ b/src/skylarkcleat/platform/daemons.py
@@ -96,8 +96,8 @@
         await _listen(stack, listen.front, ingress.handle_job)
         await _listen(stack, listen.control, ingress.handle_control)
         await _listen(stack, listen.ready, ingress.handle_ready)
-        await _run_tasks(process.list_tasks(), stopping)
-        await process.drain()
+        async with _run_tasks(process.list_tasks(), stopping):
+            await process.drain()
 
 
 async def _serve_side(
@@ -117,24 +117,32 @@
         stack.push_async_callback(runner.cleanup)
         host, port = settings_lib.split_address(settings.listen.control)
         await web.TCPSite(runner, host, port).start()
-        await _run_tasks(process.list_tasks(), stopping)
-        await process.close()
+        async with _run_tasks(process.list_tasks(), stopping):
+            await process.close()
 
 
+@contextlib.asynccontextmanager
 async def _run_tasks(
     works: list[t.Coroutine[t.Any, t.Any, None]], stopping: asyncio.Event
-) -> None:
-    """Runs tasks until a stop is asked for or one of them fails.
+) -> t.AsyncIterator[None]:
+    """Enters once a stop is asked for; the tasks run on until the exit.
 
-    The tasks go on until the process ends, so that it can drain.
+    Raises:
+        BaseException: What made one of the tasks fail.
     """
     tasks = [asyncio.create_task(work) for work in works]
     stop = asyncio.create_task(stopping.wait())
     done, _ = await asyncio.wait(
         [stop, *tasks], return_when=asyncio.FIRST_COMPLETED
     )
-    for task in done:
-        task.result()
+    try:
+        for task in done:
+            task.result()
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _listen(
--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -12,6 +12,7 @@
 LATE_OBJECTIVES = 3.0
 """A job is of no use to its caller after this many times its objective."""
 
+MAX_HISTORY = 64
 _OCCURRENCE = 0
 
 
@@ -44,6 +45,24 @@
         self.shunned: set[str] = set()
 
 
+class RunRecord(t.NamedTuple):
+    """What became of a run, for the log.
+
+    Attributes:
+        task: The step's and the task's number, such as `0.3`.
+        run: The number of the run.
+        side: The side process that got the order.
+        at_ms: When, in milliseconds since the job was submitted.
+        event: `start`, how it ended, or why it did not start.
+    """
+
+    task: str
+    run: int
+    side: str
+    at_ms: int
+    event: str
+
+
 class Waiter(t.NamedTuple):
     """A front's request that waits for a job's end."""
 
@@ -65,6 +84,7 @@
         objective_s: What the whole job may take, in seconds.
         started: Whether any task was ever ordered to start.
         may_have_run: Whether a former owner may have started a task.
+        history: What became of its runs, at most `MAX_HISTORY` of them.
     """
 
     def __init__(
@@ -85,6 +105,7 @@
         self.objective_s = queue.stretch * self.expected_s + target_s
         self.started = False
         self.may_have_run = False
+        self.history: list[RunRecord] = []
 
     @property
     def due_at(self) -> float:
@@ -111,6 +132,15 @@
         """Whether a task runs or ran."""
         return self.started
 
+    def record(
+        self, task: str, run: int, side: str, event: str, now: float
+    ) -> None:
+        """Notes what became of a run, for the log."""
+        if len(self.history) < MAX_HISTORY:
+            number = task.split(".", 2)[2]
+            at_ms = round((now - self.submitted_at) * 1000)
+            self.history.append(RunRecord(number, run, side, at_ms, event))
+
     def list_waiting(self) -> list[Task]:
         """Returns the tasks that may start now."""
         waiting = []
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -87,7 +87,8 @@
         waiter = active.Waiter(peer, message.request)
         known = self.jobs.get(job.id)
         if known is not None:
-            known.waiters.append(waiter)
+            if waiter not in known.waiters:
+                known.waiters.append(waiter)
             known.left_at = None
             self._queue(known)
             return
@@ -104,7 +105,7 @@
         added.waiters.append(waiter)
         added.may_have_run = message.was_sent
         self.jobs[job.id] = added
-        self._adopt(added)
+        self._adopt(added, now)
         if not self._end_if_done(added, now):
             self._queue(added)
 
@@ -155,7 +156,8 @@
         worker = self._find_worker(message.epoch)
         if worker is None:
             return
-        self._unheard.pop(worker.side, None)
+        if self._unheard.pop(worker.side, None) and not self._unheard:
+            eliot.log_message("owner:settled", reported=worker.side)
         self._note_ends(worker, message.ends, now)
         running = {run.task: run for run in message.running}
         for placed in list(worker.runs.values()):
@@ -200,6 +202,11 @@
         if placed is None:
             return
         self._return_task(placed)
+        job = self.jobs.get(active.find_job_id(message.task))
+        if job is not None:
+            job.record(
+                message.task, message.run, worker.side, message.reason, now
+            )
         if message.reason == "old":
             task = self._find_task(message.task)
             if task is not None:
@@ -230,6 +237,7 @@
         for side, until in list(self._unheard.items()):
             if now >= until:
                 del self._unheard[side]
+                eliot.log_message("owner:side-unheard", side=side)
         for job in list(self.jobs.values()):
             self._give_up(job, now)
         return [worker.side for worker in expired]
@@ -283,6 +291,7 @@
             step.memory_mb,
             step.gpu,
         )
+        job.record(task.name, task.run, worker.side, "start", now)
         self._send(worker.peer, start)
 
     def _note_ends(
@@ -313,7 +322,14 @@
             self._memory.note_done(end.task)
             if placed is not None and job is not None:
                 self._learn(worker, job, placed, now)
-        if task is None or task.run != end.run:
+        if task is None:
+            return
+        job.record(end.task, end.run, worker.side, end.ending.value, now)
+        is_current = task.run == end.run
+        if end.ending is scheduling.Ending.DONE:
+            # A former owner's run that ended while this one took over.
+            is_current = is_current or task.state is active.TaskState.WAITING
+        if not is_current:
             return
         if end.ending is scheduling.Ending.DONE:
             task.state = active.TaskState.DONE
@@ -365,18 +381,23 @@
         self._backlog.remove(job)
         for waiter in job.waiters:
             self._reply(waiter, verdict, detail)
-        if verdict is not scheduling.Verdict.NOT_RUN:
+        if verdict in (
+            scheduling.Verdict.COMPLETED,
+            scheduling.Verdict.FAILED,
+        ):
             self._memory.note_verdict(job.job.id, verdict)
         self._stop_runs(job)
-        if detail:
-            eliot.log_message(
-                "owner:job-ended",
-                job=job.job.id,
-                verdict=verdict.value,
-                detail=detail,
-                age_ms=round((now - job.submitted_at) * 1000),
-                started=job.started,
-            )
+        eliot.log_message(
+            "owner:job-ended",
+            job=job.job.id,
+            queue=job.queue.name,
+            verdict=verdict.value,
+            detail=detail,
+            age_ms=round((now - job.submitted_at) * 1000),
+            objective_ms=round(job.objective_s * 1000),
+            may_have_run=job.may_have_run,
+            runs=job.history,
+        )
 
     def _stop_runs(self, job: active.ActiveJob) -> None:
         names = {
@@ -399,10 +420,10 @@
             detail = "no runner had room in time"
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
-                verdict = scheduling.Verdict.FAILED
+                verdict = scheduling.Verdict.UNCERTAIN
             self._end_job(job, verdict, detail, now)
 
-    def _adopt(self, job: active.ActiveJob) -> None:
+    def _adopt(self, job: active.ActiveJob, now: float) -> None:
         for task in job.tasks:
             task.run = self._memory.find_run(task.name)
             if self._memory.is_done(task.name):
@@ -414,6 +435,7 @@
                     task.run = placed.run
                     task.state = active.TaskState.PLACED
                     job.started = True
+                    job.record(task.name, task.run, worker.side, "adopted", now)
 
     def _take_running(
         self, worker: worker_lib.Worker, run: scheduling.Run, now: float
@@ -432,6 +454,7 @@
             task.run = run.run
             task.state = active.TaskState.PLACED
             job.started = True
+            job.record(run.task, run.run, worker.side, "adopted", now)
         else:
             stop = scheduling.Stop(worker.epoch, run.task, run.run)
             self._send(worker.peer, stop)
