Shorten leases to 1.2 s and give up what no owner can serve

Cause: after the core had been dark a new owner waited 2.2 s for cut-off sides, and fronts held requests for an owner that was gone until the callers left.

--- a/src/skylarkcleat/discovery/knowledge.py
+++ b/src/skylarkcleat/discovery/knowledge.py
@@ -11,6 +11,8 @@
 """How long a front that nobody hears is still tried."""
 
 RANDOM_TARGETS = 3
+OWNER_SILENCE_S = 0.6
+"""Without a word from the owner for so long, it may not lead any more."""
 
 
 class _Heard(t.NamedTuple):
@@ -40,6 +42,7 @@
         self.term = 0
         self.replicas: tuple[str, ...] = ()
         self.promises: dict[str, tuple[str, ...]] = {}
+        self._owner_heard_at = 0.0
         self._random = generator
         self._fronts: dict[str, _Heard] = {}
 
@@ -54,6 +57,8 @@
         """Takes in what a front knows; returns whether the owner changed."""
         for ref in view.fronts:
             self.hear(ref, now)
+        if sender == view.owner:
+            self._owner_heard_at = now
         if view.promised:
             self.promises[sender] = view.promised
         if view.term >= self.term and view.replicas:
@@ -76,6 +81,13 @@
         self.term = term
         return True
 
+    def is_owner_heard(self, me: str, now: float) -> bool:
+        """Returns whether the owner is this front or was heard lately."""
+        if not self.owner:
+            return False
+        silence_s = now - self._owner_heard_at
+        return self.owner == me or silence_s < OWNER_SILENCE_S
+
     def list_fronts(self, now: float) -> list[locating.FrontRef]:
         """Returns the fronts heard of lately, with the age of that."""
         return [
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -25,6 +25,15 @@
 from skylarkcleat.wire import session as session_lib
 
 SUBMIT_MARGIN_S = 0.05
+UNSENT_WORK = 0.4
+"""A job waits for an owner for this share of its work: a quarter of its
+usual objective."""
+
+USELESS_WORK = 4.5
+USELESS_S = 0.2
+"""A job whose owner is not heard is given up after about three times its
+usual objective; the owner knows it better."""
+
 ASK_TIMEOUT_S = 1.0
 OPERATOR_TIMEOUT_S = 0.9
 """An operator tries another front after a second without an answer."""
@@ -75,7 +84,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers had better be sent here."""
-        return bool(self._knowledge.owner) and not self._draining
+        now = clock_lib.read_monotonic()
+        is_heard = self._knowledge.is_owner_heard(self._me, now)
+        return is_heard and not self._draining
 
     @property
     def is_draining(self) -> bool:
@@ -99,9 +110,12 @@
             )
 
         timeout_s = max(patience_ms / 1000 - SUBMIT_MARGIN_S, SUBMIT_MARGIN_S)
-        unsent_s = sum(step.estimate_ms for step in job.steps) / 1000
+        work_s = sum(step.estimate_ms for step in job.steps) / 1000
         return await self._requests.call(
-            build, timeout_s, min(unsent_s, timeout_s)
+            build,
+            timeout_s,
+            min(UNSENT_WORK * work_s, timeout_s),
+            USELESS_WORK * work_s + USELESS_S,
         )
 
     async def ask(
@@ -145,7 +159,7 @@
     async def _call(
         self, build: requests_lib.Build, timeout_s: float
     ) -> scheduling.Reply:
-        return await self._requests.call(build, timeout_s, timeout_s)
+        return await self._requests.call(build, timeout_s, timeout_s, timeout_s)
 
     async def drain(self) -> None:
         """Stops being ready and waits for the requests that are open."""
@@ -178,7 +192,8 @@
 
     def _send_to_owner(self, message: t.Any) -> bool:
         owner = self._knowledge.owner
-        if not owner:
+        now = clock_lib.read_monotonic()
+        if not self._knowledge.is_owner_heard(self._me, now):
             return False
         if owner == self._me:
             self._ownership.receive(self._hub.local, message)
@@ -213,11 +228,15 @@
         """Sends open requests again whenever the owner changes."""
         known = ""
         while True:
-            owner = self._knowledge.owner
+            now = clock_lib.read_monotonic()
+            is_heard = self._knowledge.is_owner_heard(self._me, now)
+            owner = self._knowledge.owner if is_heard else ""
             if owner != known:
                 known = owner
                 eliot.log_message(
                     "front:owner", owner=owner, term=self._knowledge.term
                 )
                 self._requests.send_again()
+            if not owner:
+                self._requests.give_up()
             await asyncio.sleep(rendezvous_lib.POLL_S)
--- a/src/skylarkcleat/front/rendezvous.py
+++ b/src/skylarkcleat/front/rendezvous.py
@@ -14,10 +14,10 @@
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
 
-ASK_S = 0.25
+ASK_S = 0.2
 """How often a front asks others what they know."""
 
-POLL_S = 0.02
+POLL_S = 0.04
 GONE_S = 3.0
 """A replica that is silent for so long gives way to an empty newcomer."""
 
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -19,9 +19,10 @@
 class _Open:
     """A request that waits for the owner's reply."""
 
-    def __init__(self, build: Build, now: float) -> None:
+    def __init__(self, build: Build, now: float, useless_at: float) -> None:
         self.build = build
         self.begun_at = now
+        self.useless_at = useless_at
         self.was_sent = False
         self.reply: asyncio.Future[scheduling.Reply]
         self.reply = asyncio.get_running_loop().create_future()
@@ -42,7 +43,11 @@
         return len(self._open)
 
     async def call(
-        self, build: Build, timeout_s: float, unsent_timeout_s: float
+        self,
+        build: Build,
+        timeout_s: float,
+        unsent_timeout_s: float,
+        useless_s: float,
     ) -> scheduling.Reply:
         """Sends a request and waits for the reply.
 
@@ -50,6 +55,8 @@
             build: Makes the message.
             timeout_s: How long to wait, in seconds.
             unsent_timeout_s: How long to wait for an owner to be known.
+            useless_s: After this time an answer is of no use, if the owner
+                is not heard.
 
         Returns:
             The reply. Without one the verdict is `NOT_RUN` if the request
@@ -57,7 +64,8 @@
         """
         self._number += 1
         number = self._number
-        opened = _Open(build, clock_lib.read_monotonic())
+        now = clock_lib.read_monotonic()
+        opened = _Open(build, now, now + useless_s)
         self._open[number] = opened
         try:
             self._forward(number, opened)
@@ -83,6 +91,14 @@
         if reply.verdict is not scheduling.Verdict.NOT_OWNER:
             opened.reply.set_result(reply)
 
+    def give_up(self) -> None:
+        """Answers requests that are of no use any more; no owner is heard."""
+        now = clock_lib.read_monotonic()
+        for number, opened in self._open.items():
+            is_over = opened.was_sent and now >= opened.useless_at
+            if is_over and not opened.reply.done():
+                self._end(number, opened, "the owner is not heard")
+
     def send_again(self) -> None:
         """Sends every open request to a new owner."""
         for number, opened in self._open.items():
@@ -92,13 +108,11 @@
         """Answers every open request before the process ends."""
         for number, opened in self._open.items():
             if not opened.reply.done():
-                opened.reply.set_result(
-                    scheduling.Reply(
-                        number,
-                        scheduling.Verdict.UNCERTAIN,
-                        "this front stops",
-                    )
-                )
+                self._end(number, opened, "this front stops")
+
+    def _end(self, number: int, opened: _Open, detail: str) -> None:
+        verdict = scheduling.Verdict.UNCERTAIN
+        opened.reply.set_result(scheduling.Reply(number, verdict, detail))
 
     def _forward(self, number: int, opened: _Open) -> None:
         age_s = clock_lib.read_monotonic() - opened.begun_at
--- a/src/skylarkcleat/scheduling/lease.py
+++ b/src/skylarkcleat/scheduling/lease.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-LEASE_S = 2.0
+LEASE_S = 1.2
 """How long a side process may act after it asked for its lease.
 
 An election and a new registration fit in, so that work outlives an owner.
 """
 
-RENEW_S = 0.25
+RENEW_S = 0.2
 """How often a side process asks to keep its lease."""
 
 CLOCK_DRIFT = 0.03
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -234,13 +234,13 @@
         ]
         for worker in expired:
             self._remove_worker(worker, "its lease has ended", now)
-        for side, until in list(self._unheard.items()):
-            if now >= until:
-                del self._unheard[side]
-                eliot.log_message("owner:side-unheard", side=side)
+        unheard = [s for s, until in self._unheard.items() if now >= until]
+        for side in unheard:
+            del self._unheard[side]
+            eliot.log_message("owner:side-unheard", side=side)
         for job in list(self.jobs.values()):
             self._give_up(job, now)
-        return [worker.side for worker in expired]
+        return unheard + [worker.side for worker in expired]
 
     def place(self, now: float) -> None:
         """Starts what can start, if anything has changed since last time."""
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -33,7 +33,7 @@
 PROBE_S = 0.5
 """How often a runner that does not answer is tried."""
 
-UNANSWERED_S = 0.6
+UNANSWERED_S = 0.45
 """Without the owner's answer for so long, other fronts are asked for it."""
 
 
