Start whole jobs, refuse early what can't be served, test the path

Cause: under a flood runners were given to parts of many jobs, so all were late; jobs were refused only once their time was over.

--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -77,6 +77,7 @@
         job: What was submitted.
         queue: The queue as it was then.
         tasks: All tasks, in the order of their names' numbers.
+        step_s: The expected seconds of a task of each step.
         waiters: Whom to answer.
         submitted_at: When the caller sent it, on the owner's clock.
         left_at: When the last waiter went; None while there is one.
@@ -97,6 +98,7 @@
         self.job = job
         self.queue = queue
         self.tasks = _create_tasks(job)
+        self.step_s = tuple(step_s)
         self.waiters: list[Waiter] = []
         self.submitted_at = submitted_at
         self.left_at: float | None = None
@@ -152,6 +154,14 @@
                 waiting.append(task)
         return waiting
 
+    def find_waiting_work(self) -> float:
+        """Returns the expected core-seconds of the tasks that wait."""
+        return sum(
+            self.job.steps[task.step].cpu / 1000 * self.step_s[task.step]
+            for task in self.tasks
+            if task.state is TaskState.WAITING
+        )
+
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
         return next((task for task in self.tasks if task.name == name), None)
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 import sortedcontainers
@@ -16,6 +17,10 @@
 MAX_BLOCKED = 24
 """How many jobs without room are tried in one pass."""
 
+LONGER = 4.0
+"""A job that takes so many times longer does not overtake one that waits for
+room: it would hold the room for many times the other's objective."""
+
 
 class _Entry(t.NamedTuple):
     latest_start: float
@@ -66,15 +71,41 @@
         """
         self._move_late(now)
         blocked = 0
+        shortest_s = math.inf
         for entry in [*self._timely, *self._late]:
             job = self._jobs[entry.job][0]
+            is_timely = job.latest_start > now
+            if is_timely and job.expected_s > LONGER * shortest_s:
+                continue
             if place(job):
                 self.remove(job)
                 continue
+            if is_timely:
+                shortest_s = min(shortest_s, job.expected_s)
             blocked += 1
             if blocked >= MAX_BLOCKED:
                 return
 
+    def forecast(
+        self, now: float, cores: float
+    ) -> t.Iterator[tuple[active.ActiveJob, float]]:
+        """Yields each job, in order, with the time at which it may start.
+
+        Answers an overload that lasts: work ahead of a job is done at the
+        rate of all cores together, so what can't start in time is known long
+        before its time is over.
+
+        Args:
+            now: The time, in seconds.
+            cores: The cores of all open runners.
+        """
+        self._move_late(now)
+        ahead = 0.0
+        for entry in [*self._timely, *self._late]:
+            job = self._jobs[entry.job][0]
+            yield job, now + ahead / cores
+            ahead += job.find_waiting_work()
+
     def _move_late(self, now: float) -> None:
         while self._timely and self._timely[0].latest_start < now:
             self._late.add(self._timely.pop(0))
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -31,7 +31,9 @@
 SKIPPED_RUNS = 8
 """Added to a run's number that a runner has passed already."""
 
-MAX_BACKLOG_S = 1.0
+REFUSE_S = 0.05
+"""How often jobs are looked through for those that can't be served."""
+
 _MAX_DURATION_ERROR = math.log(20)
 _MIN_DURATION_S = 0.001
 
@@ -69,6 +71,7 @@
         self._backlog = backlog_lib.Backlog()
         self._memory = memory_lib.Memory(now)
         self._is_changed = False
+        self._refused_at = now
 
     @property
     def is_settled(self) -> bool:
@@ -239,7 +242,12 @@
             del self._unheard[side]
             eliot.log_message("owner:side-unheard", side=side)
         for job in list(self.jobs.values()):
-            self._give_up(job, now)
+            if job.left_at is not None and now - job.left_at >= ABANDONED_S:
+                detail = "its caller has gone"
+                self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
+        if now - self._refused_at >= REFUSE_S:
+            self._refused_at = now
+            self._refuse_hopeless(now)
         return unheard + [worker.side for worker in expired]
 
     def place(self, now: float) -> None:
@@ -258,7 +266,10 @@
     ) -> bool:
         if job.left_at is not None:
             return False
-        for task in job.list_waiting():
+        waiting = job.list_waiting()
+        if not job.started and not placement.has_room(job, waiting, workers):
+            return False
+        for task in waiting:
             step = job.job.steps[task.step]
             base_s = self._estimates.expect(job.queue.name, step.estimate_ms)
             choice = placement.choose_worker(job, task, base_s, workers, now)
@@ -376,11 +387,12 @@
         verdict: scheduling.Verdict,
         detail: str,
         now: float,
+        retry_after_ms: int = 0,
     ) -> None:
         del self.jobs[job.job.id]
         self._backlog.remove(job)
         for waiter in job.waiters:
-            self._reply(waiter, verdict, detail)
+            self._reply(waiter, verdict, detail, retry_after_ms)
         if verdict in (
             scheduling.Verdict.COMPLETED,
             scheduling.Verdict.FAILED,
@@ -411,17 +423,28 @@
                 stop = scheduling.Stop(worker.epoch, name, run)
                 self._send(worker.peer, stop)
 
-    def _give_up(self, job: active.ActiveJob, now: float) -> None:
-        if job.left_at is not None:
-            if now - job.left_at >= ABANDONED_S:
-                detail = "its caller has gone"
-                self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
-        elif not job.started and now + job.expected_s >= job.useless_at:
-            detail = "no runner had room in time"
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuses jobs whose tasks can't start in time to be of use."""
+        cores = sum(
+            worker.runner.cpu / 1000
+            for worker in self.workers.values()
+            if worker.is_open(now)
+        )
+        drained_at = now
+        hopeless = []
+        for job, start_at in self._backlog.forecast(now, max(cores, 1.0)):
+            drained_at = start_at
+            if job.started or job.left_at is not None:
+                continue
+            if start_at + job.expected_s >= job.useless_at:
+                hopeless.append(job)
+        for job in hopeless:
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
                 verdict = scheduling.Verdict.UNCERTAIN
-            self._end_job(job, verdict, detail, now)
+            detail = "no runner has room in time"
+            wait_ms = round((drained_at - now) * 1000)
+            self._end_job(job, verdict, detail, now, wait_ms)
 
     def _adopt(self, job: active.ActiveJob, now: float) -> None:
         for task in job.tasks:
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -1,8 +1,7 @@
 """Which runner a task goes to.
 
 Answers a steady load on runners of different speed: a task goes to the
-runner on which it ends soonest, and not to one on which it would miss its
-objective while there is time to wait for a better one.
+runner with room on which it ends soonest, and never waits for a faster one.
 """
 
 from __future__ import annotations
@@ -13,13 +12,36 @@
 from skylarkcleat.scheduling import worker as worker_lib
 
 REMOTE_FACTOR = 1.5
-TIMELY_SHARE = 0.85
 FAILURE_HOLD_S = 1.0
 """How long a runner is passed over after each failure in a row."""
 
 MAX_FAILURE_HOLD_S = 8.0
 
 
+def has_room(
+    job: active.ActiveJob,
+    tasks: collections.abc.Sequence[active.Task],
+    workers: collections.abc.Sequence[worker_lib.Worker],
+) -> bool:
+    """Returns whether all tasks of a job could start at once.
+
+    Answers floods: a job is as late as its last task, so runners that are
+    given to half a job serve nobody. Jobs wider than half of the runners
+    start in part.
+    """
+    needed: dict[int, int] = {}
+    for task in tasks:
+        needed[task.step] = needed.get(task.step, 0) + 1
+    for number, count in needed.items():
+        step = job.job.steps[number]
+        fitting = [w for w in workers if w.could_run(job.queue.upstream, step)]
+        room = sum(worker.count_room(step) for worker in fitting)
+        whole = sum(w.runner.cpu // max(step.cpu, 1) for w in fitting)
+        if room < count <= whole // 2:
+            return False
+    return True
+
+
 def choose_worker(
     job: active.ActiveJob,
     task: active.Task,
@@ -37,12 +59,10 @@
         now: The time, in seconds.
 
     Returns:
-        None if no worker has room, or it is better to wait for another.
+        None if no worker has room.
     """
     step = job.job.steps[task.step]
-    left_s = (job.due_at - now) * TIMELY_SHARE
-    timely: tuple[worker_lib.Worker, float] | None = None
-    fastest: tuple[worker_lib.Worker, float] | None = None
+    best: tuple[worker_lib.Worker, float] | None = None
     for worker in workers:
         if not worker.could_run(job.queue.upstream, step):
             continue
@@ -51,11 +71,9 @@
         expected = base_s * worker.speed.find_factor(now)
         if step.data_rack and worker.rack != step.data_rack:
             expected *= REMOTE_FACTOR
-        if fastest is None or expected < fastest[1]:
-            fastest = (worker, expected)
-        if expected <= left_s and (timely is None or expected > timely[1]):
-            timely = (worker, expected)
-    return timely or fastest
+        if best is None or expected < best[1]:
+            best = (worker, expected)
+    return best
 
 
 def _is_allowed(
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -101,6 +101,11 @@
             and self._gpu + step.gpu <= runner.gpu
         )
 
+    def count_room(self, step: scheduling.Step) -> int:
+        """Returns how many tasks of a step the runner has room for."""
+        free = self.runner.cpu - self._cpu
+        return max(free // max(step.cpu, 1), 0) if self.fits(step) else 0
+
     def could_run(self, upstream: str, step: scheduling.Step) -> bool:
         """Returns whether an idle runner of this kind could run a task."""
         runner = self.runner
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import os
+
 import eliot
 import pytest
 
@@ -41,3 +43,9 @@
         terminalreporter.write_line(
             f"KNOWN RED {entry.test}: {entry.seen} (issue {entry.issue})"
         )
+
+
+@pytest.fixture
+def worker_block() -> int:
+    """A second byte of loopback addresses that no other test run uses."""
+    return 16 + os.getpid() % 200
--- /dev/null
+++ b/tests/test_scheduling_owner.py
@@ -0,0 +1,295 @@
+from __future__ import annotations
+
+import pytest
+
+from skylarkcleat.configuration import content
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.wire import session as session_lib
+
+QUEUE = content.Queue("q", "h", "/p/", "desk", 1500, 60, 0, 2, 1.6)
+FRONT = session_lib.Endpoint("front", 1)
+OTHER_FRONT = session_lib.Endpoint("other", 1)
+ID = "5c0e7a21d94b36f8"
+TASK = f"{ID}.0.0.0"
+
+
+def _runner(name="i-1", born_ms=1, cpu=8000, draining=False):
+    return scheduling.Runner(
+        name, born_ms, "desk", cpu, 1024, 0, ("a", "r1"), draining
+    )
+
+
+def _submit(request=1, tasks=1, cpu=1000, was_sent=False, job=ID):
+    step = scheduling.Step(tasks, cpu, 64, 0, 100)
+    return scheduling.Submit(
+        request,
+        "h",
+        "/p/",
+        scheduling.Job(job, "spec", (step,)),
+        0,
+        5000,
+        was_sent,
+    )
+
+
+def _register(owner, side="side-1", runner=None, now=0.0, running=()):
+    peer = session_lib.Endpoint(side, 1)
+    message = scheduling.Register(side, "z", runner or _runner(), now)
+    owner.register(peer, message, now)
+    epoch = owner.workers[side].epoch
+    owner.report(scheduling.Report(epoch, tuple(running), ()), now)
+    return epoch
+
+
+def _take(owner, kind, now=None):
+    if now is not None:
+        owner.place(now)
+    found = [o.message for o in owner.outbox if isinstance(o.message, kind)]
+    owner.outbox = [o for o in owner.outbox if not isinstance(o.message, kind)]
+    return found
+
+
+def _end(epoch, start, ending=scheduling.Ending.DONE, number=1):
+    end = scheduling.End(number, start.task, start.run, ending)
+    return scheduling.Ended(epoch, (end,))
+
+
+@pytest.fixture
+def owner():
+    return owner_lib.Owner(1, (), 0.0)
+
+
+def test_answers_a_job_when_all_its_tasks_are_done(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
+    first, second = _take(owner, scheduling.Start, 0.0)
+    owner.end_runs(_end(epoch, first), 0.1)
+    assert not _take(owner, scheduling.Reply)
+    owner.end_runs(_end(epoch, second, number=2), 0.2)
+    replies = _take(owner, scheduling.Reply)
+    assert [r.verdict for r in replies] == [scheduling.Verdict.COMPLETED]
+    assert [n.number for n in _take(owner, scheduling.Noted)] == [1, 2]
+
+
+def test_a_resent_job_joins_the_one_that_runs(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(request=1), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.submit(OTHER_FRONT, _submit(request=9), QUEUE, 0.05)
+    assert not _take(owner, scheduling.Start, 0.05)
+    owner.end_runs(_end(epoch, start), 0.1)
+    assert {r.request for r in _take(owner, scheduling.Reply)} == {1, 9}
+
+
+def test_a_job_resent_after_its_end_does_not_run_again(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(request=1), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.end_runs(_end(epoch, start), 0.1)
+    _take(owner, scheduling.Reply)
+    owner.submit(OTHER_FRONT, _submit(request=2), QUEUE, 1.5)
+    assert not _take(owner, scheduling.Start, 1.5)
+    (reply,) = _take(owner, scheduling.Reply)
+    assert reply.verdict is scheduling.Verdict.COMPLETED
+
+
+def test_room_is_never_given_twice(owner):
+    _register(owner, runner=_runner(cpu=2500))
+    owner.submit(FRONT, _submit(tasks=5), QUEUE, 0.0)
+    assert len(_take(owner, scheduling.Start, 0.0)) == 2
+
+
+def test_a_draining_runner_gets_nothing(owner):
+    _register(owner, runner=_runner(draining=True))
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    assert not _take(owner, scheduling.Start, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("was_sent", "verdict"),
+    [
+        (False, scheduling.Verdict.NOT_RUN),
+        (True, scheduling.Verdict.UNCERTAIN),
+    ],
+)
+def test_says_not_run_only_where_no_owner_can_have_started_it(
+    owner, was_sent, verdict
+):
+    owner.submit(FRONT, _submit(was_sent=was_sent), QUEUE, 0.0)
+    owner.tick(5.0)
+    (reply,) = _take(owner, scheduling.Reply)
+    assert reply.verdict is verdict
+
+
+def test_a_job_with_a_started_task_is_never_refused_as_not_run(owner):
+    _register(owner, runner=_runner(cpu=1000))
+    owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
+    assert len(_take(owner, scheduling.Start, 0.0)) == 1
+    owner.tick(0.9)
+    assert not _take(owner, scheduling.Reply)
+
+
+def test_a_new_owner_starts_nothing_before_every_side_has_reported():
+    owner = owner_lib.Owner(2, ["side-1", "side-2"], 10.0)
+    _register(owner, "side-1", now=10.1)
+    owner.submit(FRONT, _submit(), QUEUE, 10.1)
+    assert not _take(owner, scheduling.Start, 10.1)
+    _register(owner, "side-2", now=10.2)
+    assert len(_take(owner, scheduling.Start, 10.2)) == 1
+
+
+def test_a_new_owner_waits_out_the_lease_of_a_side_it_does_not_hear():
+    owner = owner_lib.Owner(2, ["side-1", "side-2"], 10.0)
+    epoch = _register(owner, "side-1", now=10.1)
+    owner.submit(FRONT, _submit(), QUEUE, 10.1)
+    expiry = lease.find_expiry(10.0)
+    for now in (10.5, expiry - 0.01):
+        owner.renew(
+            session_lib.Endpoint("side-1", 1),
+            scheduling.Renew(epoch, now, None),
+            now,
+        )
+        owner.tick(now)
+        assert not _take(owner, scheduling.Start, now)
+    assert owner.tick(expiry) == ["side-2"]
+    assert owner.is_settled
+
+
+def test_a_new_owner_adopts_what_runs_before_or_after_it_hears_of_the_job():
+    for job_first in (True, False):
+        owner = owner_lib.Owner(2, ["side-1"], 10.0)
+        running = [scheduling.Run(TASK, 3, 1000, 64, 0)]
+        submit = _submit(was_sent=True)
+        if job_first:
+            owner.submit(FRONT, submit, QUEUE, 10.0)
+        epoch = _register(owner, now=10.1, running=running)
+        if not job_first:
+            owner.submit(FRONT, submit, QUEUE, 10.2)
+        assert not _take(owner, scheduling.Start, 10.2)
+        start = scheduling.Start(epoch, TASK, 3, "spec", 0, 0, 0)
+        owner.end_runs(_end(epoch, start), 10.3)
+        (reply,) = _take(owner, scheduling.Reply)
+        assert reply.verdict is scheduling.Verdict.COMPLETED
+
+
+def test_a_done_end_of_a_former_owner_counts_for_a_job_handed_in_again():
+    owner = owner_lib.Owner(2, ["side-1"], 10.0)
+    owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
+    peer = session_lib.Endpoint("side-1", 1)
+    owner.register(
+        peer, scheduling.Register("side-1", "z", _runner(), 10.0), 10.0
+    )
+    epoch = owner.workers["side-1"].epoch
+    done = scheduling.End(4, TASK, 1, scheduling.Ending.DONE)
+    owner.report(scheduling.Report(epoch, (), (done,)), 10.1)
+    (reply,) = _take(owner, scheduling.Reply)
+    assert reply.verdict is scheduling.Verdict.COMPLETED
+    assert not _take(owner, scheduling.Start, 10.1)
+
+
+def test_a_task_moves_only_after_the_lease_of_its_side_has_ended(owner):
+    _register(owner, "side-1")
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    expiry = lease.find_expiry(0.0)
+    epoch = _register(owner, "side-2", _runner("i-2"), now=expiry - 0.1)
+    owner.tick(expiry - 0.01)
+    assert not _take(owner, scheduling.Start, expiry - 0.01)
+    owner.tick(expiry)
+    (again,) = _take(owner, scheduling.Start, expiry)
+    assert (again.epoch, again.task, again.run) == (epoch, start.task, 2)
+
+
+def test_orders_of_a_former_lease_are_told_apart(owner):
+    former = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    _register(owner, now=0.1, running=[scheduling.Run(TASK, 1, 1000, 64, 0)])
+    owner.end_runs(_end(former, start), 0.2)
+    assert not _take(owner, scheduling.Reply)
+
+
+def test_a_run_that_the_report_lacks_is_started_again(owner):
+    _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    _register(owner, now=0.2)
+    (again,) = _take(owner, scheduling.Start, 0.2)
+    assert again.run > start.run
+
+
+def test_a_job_fails_after_its_attempts(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (first,) = _take(owner, scheduling.Start, 0.0)
+    owner.end_runs(_end(epoch, first, scheduling.Ending.FAILED), 0.1)
+    epoch = _register(owner, "side-2", _runner("i-2"), now=0.1)
+    (second,) = _take(owner, scheduling.Start, 0.2)
+    assert second.epoch == epoch
+    owner.end_runs(_end(epoch, second, scheduling.Ending.FAILED), 0.3)
+    (reply,) = _take(owner, scheduling.Reply)
+    assert reply.verdict is scheduling.Verdict.FAILED
+    assert not _take(owner, scheduling.Start, 0.4)
+
+
+@pytest.mark.parametrize(
+    "ending",
+    [scheduling.Ending.LAPSED, scheduling.Ending.STOPPED],
+)
+def test_runs_that_did_not_fail_are_no_attempts(owner, ending):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    for number in range(1, 5):
+        (start,) = _take(owner, scheduling.Start, 0.01 * number)
+        owner.end_runs(_end(epoch, start, ending, number), 0.01 * number)
+    assert not _take(owner, scheduling.Reply)
+
+
+def test_a_run_number_that_a_runner_has_passed_is_skipped(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.take_back(
+        scheduling.NotStarted(epoch, start.task, start.run, "old"), 0.01
+    )
+    (again,) = _take(owner, scheduling.Start, 0.01)
+    assert again.run > start.run + 1
+
+
+def test_what_runs_for_a_caller_that_has_gone_is_stopped(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.abandon(FRONT, 1, 0.1)
+    owner.tick(0.2)
+    assert not _take(owner, scheduling.Stop)
+    gone_at = 0.1 + owner_lib.ABANDONED_S
+    peer = session_lib.Endpoint("side-1", 1)
+    for now in (1.0, 2.0, gone_at):
+        owner.renew(peer, scheduling.Renew(epoch, now, None), now)
+    owner.tick(gone_at)
+    (stop,) = _take(owner, scheduling.Stop)
+    assert (stop.task, stop.run) == (start.task, start.run)
+
+
+def test_counts_the_jobs_of_a_queue_that_have_not_begun(owner):
+    _register(owner, runner=_runner(cpu=1000))
+    owner.submit(FRONT, _submit(1), QUEUE, 0.0)
+    owner.submit(FRONT, _submit(2, job="a" * 16), QUEUE, 0.0)
+    owner.place(0.0)
+    assert owner.count_waiting("q") == 1
+
+
+def test_refuses_at_once_what_the_backlog_leaves_no_time_for(owner):
+    _register(owner, runner=_runner(cpu=1000))
+    for number in range(20):
+        submit = _submit(number, job=f"{number:016x}")
+        owner.submit(FRONT, submit, QUEUE, 0.0)
+    owner.place(0.0)
+    owner.tick(0.06)
+    replies = _take(owner, scheduling.Reply)
+    assert replies
+    assert all(r.verdict is scheduling.Verdict.NOT_RUN for r in replies)
+    assert all(r.retry_after_ms > 0 for r in replies)
