Let a draining agent outlast every entry's copy of the directory

An entry that had not heard of the drain by then sent it tasks; the process was gone, so whether they ran was unknown: 502. Side processes close links that they do not use; fronts gossip once a second while they hear the owner.

--- a/src/skylarkcleat/agent/process.py
+++ b/src/skylarkcleat/agent/process.py
@@ -13,6 +13,7 @@
 from skylarkcleat.agent import journal as journal_lib
 from skylarkcleat.agent import runner as runner_lib
 from skylarkcleat.agent import slots as slots_lib
+from skylarkcleat.directory import freshness as freshness_lib
 from skylarkcleat.directory import subscription as subscription_lib
 from skylarkcleat.jobs import effects as effects_lib
 from skylarkcleat.jobs import keeper as keeper_lib
@@ -104,15 +105,25 @@
     async def drain(self, grace_s: float) -> None:
         """Takes no new work, and waits until nothing rests on this process.
 
+        An entry may send until it has heard of the drain, which it has after
+        the lease on its copy of the directory at the latest. What comes until
+        then is refused as not run; a process that had ended would leave it
+        open whether it ran.
+
         Args:
             grace_s: How long to wait for what is queued, runs, or is kept
                 for jobs, in seconds.
         """
-        end = clock_lib.read_monotonic() + grace_s
+        begun = clock_lib.read_monotonic()
+        end = begun + grace_s
+        known_at = min(end, begun + freshness_lib.CONFIG_LEASE_S)
         self._subscription.leave()
         self._slots.drain()
         self._reporting.events.begin_drain()
-        while clock_lib.read_monotonic() < end and self._is_needed():
+        while clock_lib.read_monotonic() < end:
+            is_known = clock_lib.read_monotonic() >= known_at
+            if is_known and not self._is_needed():
+                break
             await asyncio.sleep(_DRAIN_POLL_S)
         self._slots.refuse_queued()
         self._reporting.events.end_drain()
--- a/src/skylarkcleat/cli/dev.py
+++ b/src/skylarkcleat/cli/dev.py
@@ -61,6 +61,42 @@
                     await asyncio.sleep(_RETRY_S)
 
 
+class AnnouncementService(aiomisc.Service):
+    """Prints the addresses once the entry takes jobs."""
+
+    url: str
+    agents: int
+
+    async def start(self) -> None:
+        """Starts to ask the entry; returns at once."""
+        self._task = asyncio.create_task(self._announce())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops asking."""
+        del exception
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _announce(self) -> None:
+        async with aiohttp.ClientSession(self.url) as session:
+            while not await _is_ready(session, self.agents):
+                await asyncio.sleep(_RETRY_S)
+        typer.echo(f"jobs:  {self.url}/v1/jobs")
+        typer.echo(
+            f"admin: http://{HOST}:{_ADMIN_PORT} (token: {OPERATOR_TOKEN})"
+        )
+
+
+async def _is_ready(session: aiohttp.ClientSession, agents: int) -> bool:
+    """Returns whether the entry takes jobs and knows every agent."""
+    try:
+        async with session.get("/readyz") as response:
+            found = await response.json()
+    except (aiohttp.ClientError, ValueError):
+        return False
+    return bool(found["ready"]) and found["agents"] >= agents
+
+
 async def _create_profile(
     session: aiohttp.ClientSession, name: str, body: dict[str, t.Any]
 ) -> bool:
@@ -86,8 +122,6 @@
     """Run a whole system in one process, with stand-in runners."""
     folder = pathlib.Path(data_dir or tempfile.mkdtemp(prefix="skylarkcleat-"))
     services = _create_services(port, agents, folder)
-    typer.echo(f"jobs:  http://{HOST}:{port}/v1/jobs")
-    typer.echo(f"admin: http://{HOST}:{_ADMIN_PORT} (token: {OPERATOR_TOKEN})")
     try:
         daemons.run_or_exit(*services)
     finally:
@@ -114,6 +148,9 @@
         )
     services.append(entry_service.EntryService(settings=_create_entry(port)))
     services.append(ProfileService(url=f"http://{HOST}:{_ADMIN_PORT}"))
+    services.append(
+        AnnouncementService(url=f"http://{HOST}:{port}", agents=agents)
+    )
     return services
 
 
--- a/src/skylarkcleat/front/rendezvous.py
+++ b/src/skylarkcleat/front/rendezvous.py
@@ -15,7 +15,10 @@
 from skylarkcleat.protocol import locating
 
 ASK_S = 0.2
-"""How often a front asks others what they know."""
+"""How often a front asks the owner, and all others while it hears none."""
+
+GOSSIP_S = 1.0
+"""How often it asks others while it hears the owner."""
 
 POLL_S = 0.04
 GONE_S = 3.0
@@ -45,6 +48,7 @@
             knowledge,
         )
         self._asked_at = 0.0
+        self._gossiped_at = 0.0
         self._founded = False
 
     async def run(self) -> None:
@@ -86,9 +90,17 @@
     def _ask(self, now: float) -> None:
         hello = locating.Hello(self._describe_me())
         self._knowledge.hear(self._describe_me(), now)
-        for name in self._knowledge.choose_targets(self._me, now):
+        for name in self._choose_targets(now):
             self._send(name, hello)
 
+    def _choose_targets(self, now: float) -> list[str]:
+        knowledge = self._knowledge
+        is_heard = knowledge.is_owner_heard(self._me, now)
+        if is_heard and now - self._gossiped_at < GOSSIP_S:
+            return [knowledge.owner] if knowledge.owner != self._me else []
+        self._gossiped_at = now
+        return knowledge.choose_targets(self._me, now)
+
     def _describe_me(self) -> locating.FrontRef:
         log = self._log
         return locating.FrontRef(
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -316,6 +316,8 @@
             now = self._now()
             if now - self._answered_at > UNANSWERED_S:
                 self._locate(now)
+            else:
+                self._hub.disconnect_others(self._knowledge.owner)
             if self._tenure.is_valid(now):
                 self._renew()
             elif not self._is_lost or self._wake.is_set():
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -114,6 +114,11 @@
         if link is not None:
             link.close()
 
+    def disconnect_others(self, name: str) -> None:
+        """Drops every connection that this side opened, but for one peer."""
+        for other in [each for each in self._links if each != name]:
+            self.disconnect(other)
+
     def has_session(self, peer: session_lib.Endpoint) -> bool:
         """Returns whether messages for an incarnation can be queued."""
         session = self._find_session(peer.name)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -277,9 +277,18 @@
                 return response.status, text
 
     async def submit(
-        self, front: int, job: str, tasks: int = 2, **fields: t.Any
+        self,
+        front: int,
+        job: str,
+        tasks: int = 2,
+        estimate_ms: int = 50,
+        **fields: t.Any,
     ) -> tuple[int, t.Any]:
-        step = {"task-count": tasks, "cpu": 500, "estimated-ms": 50}
+        step = {
+            "task-count": tasks,
+            "cpu": 500,
+            "estimated-ms": estimate_ms,
+        }
         body = {"spec": "s", "steps": [step], "best-effort": True, **fields}
         url = self.fleet.front_url(front, PREFIX + job)
         return await self.call("POST", url, body)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,6 +5,7 @@
 import contextlib
 import http.client
 import json
+import signal
 import time
 
 import pytest
@@ -105,6 +106,20 @@
     assert_started_once(fleet)
 
 
+def test_an_idle_agent_that_stops_stays_until_every_entry_knows(open_fleet):
+    fleet = open_fleet(agents=4)
+    entry = fleet.processes["entry-1"]
+    # Jobs reach the entry before the news that the agent is leaving.
+    entry.freeze()
+    fleet.processes["agent-1"].send_signal(signal.SIGTERM)
+    time.sleep(1.5)
+    answers = [fleet.submit_later([{"sleep_ms": 1}] * 8) for _ in range(8)]
+    time.sleep(0.2)
+    entry.thaw()
+    assert [each.result().status for each in answers] == [200] * 8
+    assert_started_once(fleet)
+
+
 def test_a_runner_that_refuses_connections_is_passed_over(open_fleet):
     fleet = open_fleet()
     fleet.processes["runner-of-agent-1"].kill()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -117,7 +117,7 @@
         for runner in caller.fleet.runners:
             runner.delay_s = 1.5
         job = "00000000000000da"
-        running = asyncio.create_task(caller.submit(3, job, 2))
+        running = asyncio.create_task(caller.submit(3, job, 2, 1500))
         await asyncio.sleep(0.3)
         owners = [
             front
