Close four gaps in who may start what

Found by reading: a side that had registered but not reported could prolong runs past the wait of a new owner; a former owner's refusal could reach a caller after the next owner had started the job; a side whose runner had been silent registered again only by chance; runs of unknown jobs were remembered for ever. Tests for the first two fail before the change.

--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -24,6 +24,7 @@
         self.begun_at = now
         self.useless_at = useless_at
         self.was_sent = False
+        self.was_sent_again = False
         self.reply: asyncio.Future[scheduling.Reply]
         self.reply = asyncio.get_running_loop().create_future()
         self.sent: asyncio.Future[None]
@@ -88,7 +89,13 @@
         opened = self._open.get(reply.request)
         if opened is None or opened.reply.done():
             return
-        if reply.verdict is not scheduling.Verdict.NOT_OWNER:
+        if reply.verdict is scheduling.Verdict.NOT_OWNER:
+            return
+        is_refusal = reply.verdict is scheduling.Verdict.NOT_RUN
+        if is_refusal and opened.was_sent_again:
+            # A former owner's refusal may come after another has started it.
+            self._end(reply.request, opened, reply.detail)
+        else:
             opened.reply.set_result(reply)
 
     def give_up(self) -> None:
@@ -117,7 +124,10 @@
     def _forward(self, number: int, opened: _Open) -> None:
         age_s = clock_lib.read_monotonic() - opened.begun_at
         message = opened.build(number, age_s, opened.was_sent)
-        if self._send(message) and not opened.was_sent:
+        if not self._send(message):
+            return
+        opened.was_sent_again = opened.was_sent
+        if not opened.was_sent:
             opened.was_sent = True
             opened.sent.set_result(None)
 
--- a/src/skylarkcleat/scheduling/memory.py
+++ b/src/skylarkcleat/scheduling/memory.py
@@ -16,14 +16,6 @@
     runs: dict[str, int]
 
 
-class Orphan(t.NamedTuple):
-    """A run whose job no caller has handed in to this owner."""
-
-    run: scheduling.Run
-    side: str
-    seen_at: float
-
-
 class Memory:
     """Remembers each fact for at least `REMEMBER_S`, in two generations."""
 
@@ -31,7 +23,6 @@
         self._young = _Generation({}, set(), {})
         self._old = _Generation({}, set(), {})
         self._turned_at = now
-        self.orphans: list[Orphan] = []
 
     def forget(self, now: float) -> None:
         """Forgets what is old."""
@@ -65,7 +56,3 @@
         """Returns the highest run of a task that is known; 0 if none."""
         young = self._young.runs.get(task, 0)
         return max(young, self._old.runs.get(task, 0))
-
-    def add_orphan(self, run: scheduling.Run, side: str, now: float) -> None:
-        """Remembers a run whose job is not known."""
-        self.orphans.append(Orphan(run, side, now))
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -237,7 +237,12 @@
         ]
         for worker in expired:
             self._remove_worker(worker, "its lease has ended", now)
-        unheard = [s for s, until in self._unheard.items() if now >= until]
+        # A side that has registered may prolong runs until it has reported.
+        unheard = [
+            side
+            for side, until in self._unheard.items()
+            if now >= until and side not in self.workers
+        ]
         for side in unheard:
             del self._unheard[side]
             eliot.log_message("owner:side-unheard", side=side)
@@ -472,8 +477,8 @@
         job = self.jobs.get(active.find_job_id(run.task))
         task = job.find_task(run.task) if job else None
         if task is None:
-            self._memory.add_orphan(run, worker.side, now)
-        elif task.state is active.TaskState.WAITING and run.run > task.run:
+            return
+        if task.state is active.TaskState.WAITING and run.run > task.run:
             task.run = run.run
             task.state = active.TaskState.PLACED
             job.started = True
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -74,6 +74,7 @@
         if known is not None and self._is_stale(heartbeat, known):
             return
         self._sequence = heartbeat.sequence
+        self._is_lost = False
         if known is not None and (
             (known.id, known.born_ms) == (runner.id, runner.born_ms)
             and known.draining
@@ -320,7 +321,7 @@
                 self._hub.disconnect_others(self._knowledge.owner)
             if self._tenure.is_valid(now):
                 self._renew()
-            elif not self._is_lost or self._wake.is_set():
+            elif not self._is_lost:
                 self._register()
             await asyncio.sleep(lease.RENEW_S)
 
--- /dev/null
+++ b/tests/test_front_requests.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from skylarkcleat.front import requests as requests_lib
+from skylarkcleat.protocol import scheduling
+
+
+class Owner:
+    """What a front sends to, and whether there is an owner at all."""
+
+    def __init__(self):
+        self.is_known = True
+        self.sent = []
+
+    def send(self, message):
+        if self.is_known:
+            self.sent.append(message)
+        return self.is_known
+
+
+def _build(number, age_s, was_sent):
+    return scheduling.Ask(number, "h", f"/{was_sent}", "", False)
+
+
+def _reply(verdict):
+    return scheduling.Reply(1, verdict)
+
+
+def _play(scene):
+    async def main():
+        owner = Owner()
+        requests = requests_lib.Requests(owner.send)
+        call = asyncio.create_task(requests.call(_build, 0.3, 0.1, 0.2))
+        await asyncio.sleep(0)
+        await scene(owner, requests)
+        return (await call).verdict
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "verdict",
+    [
+        scheduling.Verdict.COMPLETED,
+        scheduling.Verdict.NOT_RUN,
+        scheduling.Verdict.UNKNOWN_QUEUE,
+    ],
+)
+def test_hands_on_the_owners_reply(verdict):
+    async def scene(owner, requests):
+        requests.take_reply(_reply(verdict))
+
+    assert _play(scene) is verdict
+
+
+def test_a_refusal_after_a_second_owner_is_uncertain():
+    async def scene(owner, requests):
+        requests.send_again()
+        assert [m.path for m in owner.sent] == ["/False", "/True"]
+        requests.take_reply(_reply(scheduling.Verdict.NOT_RUN))
+
+    assert _play(scene) is scheduling.Verdict.UNCERTAIN
+
+
+def test_what_was_never_sent_has_not_run():
+    async def main():
+        owner = Owner()
+        owner.is_known = False
+        requests = requests_lib.Requests(owner.send)
+        return await requests.call(_build, 0.3, 0.05, 0.2)
+
+    assert asyncio.run(main()).verdict is scheduling.Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize("close", [False, True])
+def test_what_was_sent_and_got_no_reply_is_uncertain(close):
+    async def scene(owner, requests):
+        if close:
+            requests.close()
+
+    assert _play(scene) is scheduling.Verdict.UNCERTAIN
+
+
+def test_one_that_does_not_own_the_jobs_is_not_believed():
+    async def scene(owner, requests):
+        requests.take_reply(_reply(scheduling.Verdict.NOT_OWNER))
+        requests.send_again()
+        requests.take_reply(_reply(scheduling.Verdict.COMPLETED))
+
+    assert _play(scene) is scheduling.Verdict.COMPLETED
+
+
+def test_the_owner_is_told_of_a_caller_that_leaves():
+    async def main():
+        owner = Owner()
+        requests = requests_lib.Requests(owner.send)
+        call = asyncio.create_task(requests.call(_build, 5, 5, 5))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        assert owner.sent[-1] == scheduling.Abandon(1)
+        assert len(requests) == 0
+
+    asyncio.run(main())
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -157,6 +157,24 @@
     assert owner.is_settled
 
 
+def test_a_side_that_has_registered_must_report_before_anything_starts():
+    owner = owner_lib.Owner(2, ["side-1", "side-2"], 10.0)
+    peer = session_lib.Endpoint("side-2", 1)
+    register = scheduling.Register("side-2", "z", _runner("i-2"), 10.9)
+    owner.register(peer, register, 10.9)
+    epoch = _register(owner, "side-1", now=10.9)
+    owner.submit(FRONT, _submit(), QUEUE, 11.0)
+    now = lease.find_expiry(10.0)
+    for side, each in (("side-1", epoch), ("side-2", epoch - 1)):
+        renew = scheduling.Renew(each, now, None)
+        owner.renew(session_lib.Endpoint(side, 1), renew, now)
+    owner.tick(now)
+    assert not _take(owner, scheduling.Start, now)
+    running = (scheduling.Run(TASK, 1, 1000, 64, 0),)
+    owner.report(scheduling.Report(epoch - 1, running, ()), now)
+    assert not _take(owner, scheduling.Start, now)
+
+
 def test_a_new_owner_adopts_what_runs_before_or_after_it_hears_of_the_job():
     for job_first in (True, False):
         owner = owner_lib.Owner(2, ["side-1"], 10.0)
