--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -35,6 +35,17 @@
     assert set(fleet.count_starts().values()) == {1}
 
 
+def explain(fleet, problem):
+    """Returns a problem's body and the time line of its job."""
+    lines = [json.dumps(problem)]
+    job = problem.get("job", "")
+    for name, process in fleet.processes.items():
+        text = process.log.read_text(errors="replace")
+        found = [line for line in text.splitlines() if job in line]
+        lines += [f"{name}: {line}" for line in found]
+    return "\n".join(lines)
+
+
 def find_busy_agent(fleet, key):
     for agent, url in fleet.runners.items():
         starts = fleet_lib.call("GET", f"{url}/starts").body
@@ -102,7 +113,9 @@
     answers = [fleet.submit_later(tasks) for _ in range(4)]
     fleet.wait_started(20)
     assert fleet.processes["agent-1"].stop() == 0
-    assert [each.result().status for each in answers] == [200] * 4
+    results = [each.result() for each in answers]
+    failed = [each.body for each in results if each.status != 200]
+    assert not failed, "\n".join(explain(fleet, each) for each in failed)
     assert_started_once(fleet)
 
 
