Don't charge a profile's retry budget for agents that take no work

Ruled out: the stop itself, whose refusals (draining) were free already. Change: a stale copy is free like a drain; attempts stay bounded. Not run: fifty runs of the stopping test beside a busy suite.

--- a/src/skylarkcleat/dispatch/retry.py
+++ b/src/skylarkcleat/dispatch/retry.py
@@ -15,6 +15,11 @@
 MAX_TOKENS = 100.0
 BASE_BACKOFF_S = 0.002
 MAX_BACKOFF_S = 1.0
+FREE_CAUSES = frozenset(
+    {cause_lib.Cause.DRAINING, cause_lib.Cause.CONFIGURATION_STALE}
+)
+"""An agent that takes no work at all refuses whole jobs at once: that is no
+sign of a failing profile, so it costs nothing of its budget."""
 
 
 class RetryDecision(t.NamedTuple):
@@ -116,7 +121,7 @@
             return f"profile {profile.name!r} allows no further attempt"
         if now >= job.work.deadline_at:
             return "the deadline has passed"
-        if failure.cause is cause_lib.Cause.DRAINING:
+        if failure.cause in FREE_CAUSES:
             return ""
         if not self._find_budget(profile.name).spend():
             return f"profile {profile.name!r} has used up its retry budget"
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -16,18 +16,12 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active
-from skylarkcleat.scheduling import backlog as backlog_lib
-from skylarkcleat.scheduling import lease
-from skylarkcleat.scheduling import memory as memory_lib
+from skylarkcleat.scheduling import job_table as job_table_lib
 from skylarkcleat.scheduling import placement
-from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import workers as workers_lib
 from skylarkcleat.wire import session as session_lib
 
-ABANDONED_S = 2.5
-"""How long a job without a caller is kept: a caller resends after 1.3 s."""
-
-EPOCHS_PER_OWNER = 1 << 16
 SKIPPED_RUNS = 8
 """Added to a run's number that a runner has passed already."""
 
@@ -55,28 +49,28 @@
 
     Attributes:
         outbox: Messages to be sent.
-        jobs: The jobs that have not ended, by id.
-        workers: The side processes that hold a lease, by name.
     """
 
     def __init__(self, index: int, sides: t.Iterable[str], now: float) -> None:
         self.outbox: list[Outgoing] = []
-        self.jobs: dict[str, active.ActiveJob] = {}
-        self.workers: dict[str, worker_lib.Worker] = {}
-        self._base = index * EPOCHS_PER_OWNER
-        self._epochs = 0
-        self._unheard = dict.fromkeys(sides, lease.find_expiry(now))
-        self._speeds: dict[str, speed_lib.Speed] = {}
-        self._estimates = speed_lib.Estimates()
-        self._backlog = backlog_lib.Backlog()
-        self._memory = memory_lib.Memory(now)
-        self._is_changed = False
+        self._workers = workers_lib.Workers(index, sides, now)
+        self._jobs = job_table_lib.JobTable(now)
         self._refused_at = now
 
+    @property
+    def jobs(self) -> dict[str, active.ActiveJob]:
+        """The jobs that have not ended, by id."""
+        return self._jobs.active
+
+    @property
+    def workers(self) -> dict[str, worker_lib.Worker]:
+        """The side processes that hold a lease, by name."""
+        return self._workers.by_side
+
     @property
     def is_settled(self) -> bool:
         """Whether no runner may run what this owner does not know."""
-        return not self._unheard
+        return self._workers.is_settled
 
     def submit(
         self,
@@ -93,36 +87,31 @@
             if waiter not in known.waiters:
                 known.waiters.append(waiter)
             known.left_at = None
-            self._queue(known)
+            self._jobs.queue(known)
             return
-        verdict = self._memory.find_verdict(job.id)
+        verdict = self._jobs.memory.find_verdict(job.id)
         if verdict is not None:
             self._reply(waiter, verdict, "the job has ended before")
             return
-        step_s = [
-            self._estimates.expect(queue.name, step.estimate_ms)
-            for step in job.steps
-        ]
-        submitted_at = now - message.waited_ms / 1000
-        added = active.ActiveJob(job, queue, submitted_at, step_s)
+        added = self._jobs.add(message, queue, now)
         added.waiters.append(waiter)
-        added.may_have_run = message.was_sent
-        self.jobs[job.id] = added
-        self._adopt(added, now)
+        for task in added.tasks:
+            for worker, placed in self._workers.list_runs(task.name):
+                self._adopt(added, task, worker, placed.run, now)
         if not self._end_if_done(added, now):
-            self._queue(added)
+            self._jobs.queue(added)
 
     def abandon(
         self, peer: session_lib.Endpoint, request: int, now: float
     ) -> None:
         """Takes in that a caller has gone."""
-        self._drop_waiters(
+        self._jobs.drop_waiters(
             lambda waiter: waiter == active.Waiter(peer, request), now
         )
 
     def lose_peer(self, peer: session_lib.Endpoint, now: float) -> None:
         """Takes in that a process can't be reached any more."""
-        self._drop_waiters(lambda waiter: waiter.peer == peer, now)
+        self._jobs.drop_waiters(lambda waiter: waiter.peer == peer, now)
 
     def count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
@@ -141,37 +130,25 @@
 
         Runs under the former lease stay counted until the report.
         """
-        self._epochs += 1
-        epoch = self._base + self._epochs
-        runner = message.runner
-        key = message.side if runner is None else runner.id
-        speed = self._speeds.setdefault(key, speed_lib.Speed())
-        former = self.workers.get(message.side)
-        worker = worker_lib.Worker(message, peer, epoch, now, speed)
-        if former is not None:
-            for placed in former.runs.values():
-                worker.add(placed)
-        self.workers[message.side] = worker
-        self._send(peer, scheduling.Grant(epoch, message.sent_at))
+        worker = self._workers.register(peer, message, now)
+        self._send(peer, scheduling.Grant(worker.epoch, message.sent_at))
 
     def report(self, message: scheduling.Report, now: float) -> None:
         """Takes in all that runs on a runner."""
-        worker = self._find_worker(message.epoch)
+        worker = self._workers.find(message.epoch)
         if worker is None:
             return
-        if self._unheard.pop(worker.side, None) and not self._unheard:
-            eliot.log_message("owner:settled", reported=worker.side)
         self._note_ends(worker, message.ends, now)
         running = {run.task: run for run in message.running}
         for placed in list(worker.runs.values()):
             run = running.get(placed.task)
             if run is None or run.run != placed.run:
                 worker.remove(placed.task, placed.run)
-                self._return_task(placed)
+                self._jobs.return_task(placed)
         for run in running.values():
             self._take_running(worker, run, now)
-        worker.phase = worker_lib.Phase.READY
-        self._is_changed = True
+        self._workers.note_report(worker)
+        self._jobs.is_changed = True
 
     def renew(
         self,
@@ -180,38 +157,38 @@
         now: float,
     ) -> None:
         """Prolongs a lease."""
-        worker = self._find_worker(message.epoch)
+        worker = self._workers.find(message.epoch)
         if worker is None:
             self._send(peer, scheduling.Unregistered(message.epoch))
             return
         worker.granted_at = now
         if message.runner != worker.runner and message.runner is not None:
             worker.runner = message.runner
-            self._is_changed = True
+            self._jobs.is_changed = True
         self._send(peer, scheduling.Renewed(message.epoch, message.sent_at))
 
     def end_runs(self, message: scheduling.Ended, now: float) -> None:
         """Takes in the ends of runs."""
-        worker = self._find_worker(message.epoch)
+        worker = self._workers.find(message.epoch)
         if worker is not None:
             self._note_ends(worker, message.ends, now)
 
     def take_back(self, message: scheduling.NotStarted, now: float) -> None:
         """Takes in that a run never started."""
-        worker = self._find_worker(message.epoch)
+        worker = self._workers.find(message.epoch)
         if worker is None:
             return
         placed = worker.remove(message.task, message.run)
         if placed is None:
             return
-        self._return_task(placed)
-        job = self.jobs.get(active.find_job_id(message.task))
+        self._jobs.return_task(placed)
+        job = self._jobs.find(message.task)
         if job is not None:
             job.record(
                 message.task, message.run, worker.side, message.reason, now
             )
         if message.reason == "old":
-            task = self._find_task(message.task)
+            task = self._jobs.find_task(message.task)
             if task is not None:
                 task.run += SKIPPED_RUNS
         elif message.reason not in ("draining", "room"):
@@ -220,7 +197,7 @@
 
     def lose_runner(self, message: scheduling.RunnerLost, now: float) -> None:
         """Takes in that all on a runner is over and it does not answer."""
-        worker = self._find_worker(message.epoch)
+        worker = self._workers.find(message.epoch)
         if worker is not None:
             self._remove_worker(worker, "its runner does not answer", now)
 
@@ -230,26 +207,15 @@
         Returns:
             The side processes whose leases ended.
         """
-        self._memory.forget(now)
-        self._is_changed = True
-        expired = [
-            each for each in self.workers.values() if now >= each.expires_at
-        ]
+        self._jobs.memory.forget(now)
+        self._jobs.is_changed = True
+        expired = self._workers.list_expired(now)
         for worker in expired:
             self._remove_worker(worker, "its lease has ended", now)
-        # A side that has registered may prolong runs until it has reported.
-        unheard = [
-            side
-            for side, until in self._unheard.items()
-            if now >= until and side not in self.workers
-        ]
-        for side in unheard:
-            del self._unheard[side]
-            eliot.log_message("owner:side-unheard", side=side)
-        for job in list(self.jobs.values()):
-            if job.left_at is not None and now - job.left_at >= ABANDONED_S:
-                detail = "its caller has gone"
-                self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
+        unheard = self._workers.forget_unheard(now)
+        for job in self._jobs.list_abandoned(now):
+            detail = "its caller has gone"
+            self._end_job(job, scheduling.Verdict.CANCELLED, detail, now)
         if now - self._refused_at >= REFUSE_S:
             self._refused_at = now
             self._refuse_hopeless(now)
@@ -257,11 +223,13 @@
 
     def place(self, now: float) -> None:
         """Starts what can start, if anything has changed since last time."""
-        if not self.is_settled or not self._is_changed:
+        if not self.is_settled or not self._jobs.is_changed:
             return
-        self._is_changed = False
-        workers = [each for each in self.workers.values() if each.is_open(now)]
-        self._backlog.place(now, lambda job: self._place_job(job, workers, now))
+        self._jobs.is_changed = False
+        workers = self._workers.list_open(now)
+        self._jobs.backlog.place(
+            now, lambda job: self._place_job(job, workers, now)
+        )
 
     def _place_job(
         self,
@@ -276,7 +244,9 @@
             return False
         for task in waiting:
             step = job.job.steps[task.step]
-            base_s = self._estimates.expect(job.queue.name, step.estimate_ms)
+            base_s = self._jobs.estimates.expect(
+                job.queue.name, step.estimate_ms
+            )
             choice = placement.choose_worker(job, task, base_s, workers, now)
             if choice is None:
                 return False
@@ -292,7 +262,7 @@
         now: float,
     ) -> None:
         step = job.job.steps[task.step]
-        task.run = max(task.run, self._memory.find_run(task.name)) + 1
+        task.run = max(task.run, self._jobs.memory.find_run(task.name)) + 1
         task.state = active.TaskState.PLACED
         job.started = True
         worker.add(
@@ -316,7 +286,7 @@
         ends: t.Sequence[scheduling.End],
         now: float,
     ) -> None:
-        self._is_changed = True
+        self._jobs.is_changed = True
         for end in ends:
             placed = worker.remove(end.task, end.run)
             self._end_run(worker, end, placed, now)
@@ -331,11 +301,11 @@
         placed: worker_lib.Placed | None,
         now: float,
     ) -> None:
-        self._memory.note_run(end.task, end.run)
-        job = self.jobs.get(active.find_job_id(end.task))
+        self._jobs.memory.note_run(end.task, end.run)
+        job = self._jobs.find(end.task)
         task = job.find_task(end.task) if job else None
         if end.ending is scheduling.Ending.DONE:
-            self._memory.note_done(end.task)
+            self._jobs.memory.note_done(end.task)
             if placed is not None and job is not None:
                 self._learn(worker, job, placed, now)
         if task is None:
@@ -351,7 +321,7 @@
             task.state = active.TaskState.DONE
         elif task.state is active.TaskState.PLACED:
             task.state = active.TaskState.WAITING
-        self._queue(job)
+        self._jobs.queue(job)
         if end.ending is scheduling.Ending.FAILED:
             task.failures += 1
             task.shunned.add(worker.side)
@@ -373,7 +343,7 @@
         error = math.log(took / placed.expected_s)
         error = max(-_MAX_DURATION_ERROR, min(_MAX_DURATION_ERROR, error))
         worker.speed.learn(error, now)
-        self._estimates.learn(job.queue.name, error)
+        self._jobs.estimates.learn(job.queue.name, error)
 
     def _end_if_done(self, job: active.ActiveJob, now: float) -> bool:
         if job.is_done:
@@ -394,15 +364,9 @@
         now: float,
         retry_after_ms: int = 0,
     ) -> None:
-        del self.jobs[job.job.id]
-        self._backlog.remove(job)
+        self._jobs.remove(job, verdict)
         for waiter in job.waiters:
             self._reply(waiter, verdict, detail, retry_after_ms)
-        if verdict in (
-            scheduling.Verdict.COMPLETED,
-            scheduling.Verdict.FAILED,
-        ):
-            self._memory.note_verdict(job.job.id, verdict)
         self._stop_runs(job)
         eliot.log_message(
             "owner:job-ended",
@@ -430,59 +394,44 @@
 
     def _refuse_hopeless(self, now: float) -> None:
         """Refuses jobs whose tasks can't start in time to be of use."""
-        cores = sum(
-            worker.runner.cpu / 1000
-            for worker in self.workers.values()
-            if worker.is_open(now)
-        )
-        drained_at = now
-        hopeless = []
-        for job, start_at in self._backlog.forecast(now, max(cores, 1.0)):
-            drained_at = start_at
-            if job.started or job.left_at is not None:
-                continue
-            if start_at + job.expected_s >= job.useless_at:
-                hopeless.append(job)
+        workers = self._workers.list_open(now)
+        cores = sum(worker.runner.cpu for worker in workers) / 1000
+        hopeless, wait_s = self._jobs.list_hopeless(now, cores)
         for job in hopeless:
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
                 verdict = scheduling.Verdict.UNCERTAIN
             detail = "no runner has room in time"
-            wait_ms = round((drained_at - now) * 1000)
-            self._end_job(job, verdict, detail, now, wait_ms)
-
-    def _adopt(self, job: active.ActiveJob, now: float) -> None:
-        for task in job.tasks:
-            task.run = self._memory.find_run(task.name)
-            if self._memory.is_done(task.name):
-                task.state = active.TaskState.DONE
-                job.started = True
-            for worker in self.workers.values():
-                placed = worker.runs.get(task.name)
-                if placed is not None:
-                    task.run = placed.run
-                    task.state = active.TaskState.PLACED
-                    job.started = True
-                    job.record(task.name, task.run, worker.side, "adopted", now)
+            self._end_job(job, verdict, detail, now, round(wait_s * 1000))
+
+    def _adopt(
+        self,
+        job: active.ActiveJob,
+        task: active.Task,
+        worker: worker_lib.Worker,
+        run: int,
+        now: float,
+    ) -> None:
+        task.run = run
+        task.state = active.TaskState.PLACED
+        job.started = True
+        job.record(task.name, run, worker.side, "adopted", now)
 
     def _take_running(
         self, worker: worker_lib.Worker, run: scheduling.Run, now: float
     ) -> None:
         if run.task in worker.runs:
             return
-        self._memory.note_run(run.task, run.run)
+        self._jobs.memory.note_run(run.task, run.run)
         step = self._find_size(worker, run)
         placed = worker_lib.Placed(run.task, run.run, step, now, 0.0)
         worker.add(placed)
-        job = self.jobs.get(active.find_job_id(run.task))
+        job = self._jobs.find(run.task)
         task = job.find_task(run.task) if job else None
         if task is None:
             return
         if task.state is active.TaskState.WAITING and run.run > task.run:
-            task.run = run.run
-            task.state = active.TaskState.PLACED
-            job.started = True
-            job.record(run.task, run.run, worker.side, "adopted", now)
+            self._adopt(job, task, worker, run.run, now)
         else:
             stop = scheduling.Stop(worker.epoch, run.task, run.run)
             self._send(worker.peer, stop)
@@ -498,50 +447,9 @@
     def _remove_worker(
         self, worker: worker_lib.Worker, reason: str, now: float
     ) -> None:
-        del self.workers[worker.side]
-        eliot.log_message(
-            "owner:worker-lost",
-            side=worker.side,
-            epoch=worker.epoch,
-            reason=reason,
-            runs=len(worker.runs),
-            lease_age_ms=round((now - worker.granted_at) * 1000),
-        )
+        self._workers.remove(worker, reason, now)
         for placed in worker.runs.values():
-            self._return_task(placed)
-
-    def _return_task(self, placed: worker_lib.Placed) -> None:
-        self._memory.note_run(placed.task, placed.run)
-        task = self._find_task(placed.task)
-        if task is None or task.run != placed.run:
-            return
-        if task.state is active.TaskState.PLACED:
-            task.state = active.TaskState.WAITING
-            self._queue(self.jobs[active.find_job_id(placed.task)])
-
-    def _queue(self, job: active.ActiveJob) -> None:
-        if job.list_waiting():
-            self._backlog.add(job)
-            self._is_changed = True
-
-    def _find_task(self, name: str) -> active.Task | None:
-        job = self.jobs.get(active.find_job_id(name))
-        return job.find_task(name) if job else None
-
-    def _find_worker(self, epoch: int) -> worker_lib.Worker | None:
-        for worker in self.workers.values():
-            if worker.epoch == epoch:
-                return worker
-        return None
-
-    def _drop_waiters(
-        self, is_gone: t.Callable[[active.Waiter], bool], now: float
-    ) -> None:
-        for job in self.jobs.values():
-            if any(is_gone(waiter) for waiter in job.waiters):
-                job.waiters = [w for w in job.waiters if not is_gone(w)]
-                if not job.waiters:
-                    job.left_at = now
+            self._jobs.return_task(placed)
 
     def _reply(
         self,
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -4,6 +4,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import job_table
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.wire import session as session_lib
@@ -283,7 +284,7 @@
     owner.abandon(FRONT, 1, 0.1)
     owner.tick(0.2)
     assert not _take(owner, scheduling.Stop)
-    gone_at = 0.1 + owner_lib.ABANDONED_S
+    gone_at = 0.1 + job_table.ABANDONED_S
     peer = session_lib.Endpoint("side-1", 1)
     for now in (1.0, 2.0, gone_at):
         owner.renew(peer, scheduling.Renew(epoch, now, None), now)
