Tell owners' runs apart by the side process that has them

Each owner numbers a task's runs from 1. A side process that had been cut off came back with the lapsed end of run 1 of the former owner; the new owner took it for the end of its own run 1 on another side process and started run 2 beside it. Change: a run is named by its number and its side process, for ends, returned tasks and adoptions. The test fails before the change.

--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -32,6 +32,8 @@
         step: The number of its step.
         state: Where it stands.
         run: The number of its latest run; 0 before the first.
+        side: The side process that got it. Owners number runs from 1 each,
+            so only both together name a run.
         failures: How many of its runs failed.
         shunned: Side processes on which it failed.
     """
@@ -41,6 +43,7 @@
         self.step = step
         self.state = TaskState.WAITING
         self.run = 0
+        self.side = ""
         self.failures = 0
         self.shunned: set[str] = set()
 
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -83,12 +83,12 @@
             self.backlog.add(job)
             self.is_changed = True
 
-    def return_task(self, placed: worker_lib.Placed) -> None:
-        """Takes in that a run is over and its task is not done."""
+    def return_task(self, placed: worker_lib.Placed, side: str) -> None:
+        """Takes in that a run on a side is over and its task is not done."""
         self.memory.note_run(placed.task, placed.run)
         job = self.find(placed.task)
         task = job.find_task(placed.task) if job else None
-        if task is None or task.run != placed.run:
+        if task is None or (task.run, task.side) != (placed.run, side):
             return
         if task.state is active.TaskState.PLACED:
             task.state = active.TaskState.WAITING
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -144,7 +144,7 @@
             run = running.get(placed.task)
             if run is None or run.run != placed.run:
                 worker.remove(placed.task, placed.run)
-                self._jobs.return_task(placed)
+                self._jobs.return_task(placed, worker.side)
         for run in running.values():
             self._take_running(worker, run, now)
         self._workers.note_report(worker)
@@ -181,7 +181,7 @@
         placed = worker.remove(message.task, message.run)
         if placed is None:
             return
-        self._jobs.return_task(placed)
+        self._jobs.return_task(placed, worker.side)
         job = self._jobs.find(message.task)
         if job is not None:
             job.record(
@@ -189,7 +189,7 @@
             )
         if message.reason == "old":
             task = self._jobs.find_task(message.task)
-            if task is not None:
+            if task is not None and task.state is active.TaskState.WAITING:
                 task.run += SKIPPED_RUNS
         elif message.reason not in ("draining", "room"):
             worker.speed.failures += 1
@@ -263,6 +263,7 @@
     ) -> None:
         step = job.job.steps[task.step]
         task.run = max(task.run, self._jobs.memory.find_run(task.name)) + 1
+        task.side = worker.side
         task.state = active.TaskState.PLACED
         job.started = True
         worker.add(
@@ -311,7 +312,7 @@
         if task is None:
             return
         job.record(end.task, end.run, worker.side, end.ending.value, now)
-        is_current = task.run == end.run
+        is_current = (task.run, task.side) == (end.run, worker.side)
         if end.ending is scheduling.Ending.DONE:
             # A former owner's run that ended while this one took over.
             is_current = is_current or task.state is active.TaskState.WAITING
@@ -413,6 +414,7 @@
         now: float,
     ) -> None:
         task.run = run
+        task.side = worker.side
         task.state = active.TaskState.PLACED
         job.started = True
         job.record(task.name, run, worker.side, "adopted", now)
@@ -449,7 +451,7 @@
     ) -> None:
         self._workers.remove(worker, reason, now)
         for placed in worker.runs.values():
-            self._jobs.return_task(placed)
+            self._jobs.return_task(placed, worker.side)
 
     def _reply(
         self,
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -312,3 +312,25 @@
     assert replies
     assert all(r.verdict is scheduling.Verdict.NOT_RUN for r in replies)
     assert all(r.retry_after_ms > 0 for r in replies)
+
+
+def test_the_end_of_a_former_owners_run_elsewhere_changes_nothing():
+    """Owners number a task's runs from 1 each; the side tells them apart."""
+    owner = owner_lib.Owner(2, ["side-1"], 10.0)
+    owner.tick(lease.find_expiry(10.0))
+    now = 12.0
+    _register(owner, "side-2", _runner("i-2"), now=now)
+    owner.submit(FRONT, _submit(was_sent=True), QUEUE, now)
+    (start,) = _take(owner, scheduling.Start, now)
+    peer = session_lib.Endpoint("side-1", 1)
+    register = scheduling.Register("side-1", "z", _runner(), now)
+    owner.register(peer, register, now)
+    epoch = owner.workers["side-1"].epoch
+    for ending in (scheduling.Ending.LAPSED, scheduling.Ending.STOPPED):
+        end = scheduling.End(4, TASK, start.run, ending)
+        owner.report(scheduling.Report(epoch, (), (end,)), now)
+        assert not _take(owner, scheduling.Start, now)
+    running = (scheduling.Run(TASK, start.run, 1000, 64, 0),)
+    owner.report(scheduling.Report(epoch, running, ()), now)
+    owner.report(scheduling.Report(epoch, (), ()), now)
+    assert not _take(owner, scheduling.Start, now)
