Drop unread fields and twin steps of the platform's path

Ruled out: no decision changes. The look after a grant was the same call with one flag more; the flag is set by the look itself.

Change: the twins are one, unread fields are gone, tests share the first configuration step.

--- a/src/skylarkcleat/discovery/knowledge.py
+++ b/src/skylarkcleat/discovery/knowledge.py
@@ -67,15 +67,8 @@
 
     def note_owner(self, owner: str, term: int) -> bool:
         """Takes in who leads; returns whether that is news."""
-        if (
-            not owner
-            or term < self.term
-            or (owner, term)
-            == (
-                self.owner,
-                self.term,
-            )
-        ):
+        is_known = (owner, term) == (self.owner, self.term)
+        if not owner or term < self.term or is_known:
             return False
         self.owner = owner
         self.term = term
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -91,8 +91,7 @@
         return True
 
     async def _take_over(self) -> None:
-        command = record_lib.CODEC.encode(record_lib.TakeOwnership(self._me))
-        answer = await self._log.propose(command)
+        answer = await self._propose(record_lib.TakeOwnership(self._me))
         if not isinstance(answer, log_lib.Applied):
             return
         if self._log.is_leading:
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -60,7 +60,6 @@
         self._settings = settings
         self._hub = hub
         self._log = log
-        self._store = store
         self._me = settings.ip
         seeds = settings_lib.list_seed_ips(settings)
         self._knowledge = knowledge_lib.Knowledge(seeds, random.Random())
--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -14,7 +14,6 @@
 from skylarkcleat.protocol import scheduling
 
 DEFAULT_PATIENCE_MS = 10_000
-MAX_BODY_BYTES = 4 * 1024 * 1024
 _JOB_PATH = re.compile(r"(.*?)([0-9a-fA-F]{16})", re.DOTALL)
 _STATES = (
     scheduling.Verdict.COMPLETED,
--- a/src/skylarkcleat/platform/names.py
+++ b/src/skylarkcleat/platform/names.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-READY_PATH = "/api/ready"
 HEARTBEAT_PATH = "/api/instances/{id}/heartbeat"
 DEREGISTER_PATH = "/api/instances/{id}/deregister"
 CONFIGURATION_PUT_PATH = "/api/config/put"
--- a/src/skylarkcleat/platform/runner_client.py
+++ b/src/skylarkcleat/platform/runner_client.py
@@ -19,7 +19,7 @@
 UNANSWERED = 0
 """The status of a call that got no answer: it may have been carried out."""
 
-_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, asyncio.TimeoutError)
+_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
 class RunnerClient:
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -4,7 +4,6 @@
 
 import os
 import pathlib
-import typing as t
 
 import msgspec
 
@@ -21,19 +20,11 @@
     control: str = ""
 
 
-class Tolerance(msgspec.Struct, rename="kebab"):
-    """What may be lost at the same time."""
-
-    machines: int = 0
-
-
 class Bounds(msgspec.Struct):
     """Values that the infrastructure's promises rest on."""
 
     grace_s: float = msgspec.field(name="grace-s", default=6.0)
     max_hold_ms: int = msgspec.field(name="max-hold-ms", default=1000)
-    retry_ms: int = msgspec.field(name="retry-ms", default=1300)
-    config_apply_ms: int = msgspec.field(name="config-apply-ms", default=2000)
 
 
 class Settings(msgspec.Struct, rename="kebab"):
@@ -50,7 +41,6 @@
         app: The address of the runner beside a side process.
         service: The upstream of that runner.
         listen: What the process serves.
-        fault_tolerance: What may be lost at the same time.
         bounds: Values that the infrastructure's promises rest on.
     """
 
@@ -64,7 +54,6 @@
     app: str = ""
     service: str = ""
     listen: Listen = msgspec.field(default_factory=Listen)
-    fault_tolerance: Tolerance = msgspec.field(default_factory=Tolerance)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
 
 
@@ -94,7 +83,4 @@
 
 def list_seed_ips(settings: Settings) -> tuple[str, ...]:
     """Returns the IP numbers of the seeds."""
-    return t.cast(
-        tuple[str, ...],
-        tuple(split_address(seed)[0] for seed in settings.seeds),
-    )
+    return tuple(split_address(seed)[0] for seed in settings.seeds)
--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -47,6 +47,12 @@
         self.failures = 0
         self.shunned: set[str] = set()
 
+    def place(self, run: int, side: str) -> None:
+        """Takes in which run of the task is under way, and where."""
+        self.run = run
+        self.side = side
+        self.state = TaskState.PLACED
+
 
 class RunRecord(t.NamedTuple):
     """What became of a run, for the log.
@@ -132,11 +138,6 @@
         """Whether every task is done."""
         return all(task.state is TaskState.DONE for task in self.tasks)
 
-    @property
-    def is_started(self) -> bool:
-        """Whether a task runs or ran."""
-        return self.started
-
     def record(
         self, task: str, run: int, side: str, event: str, now: float
     ) -> None:
--- a/src/skylarkcleat/scheduling/ledger.py
+++ b/src/skylarkcleat/scheduling/ledger.py
@@ -30,7 +30,6 @@
         state: What is known of it.
         settled_at: From when on a look at the runner shows whether it is
             there; None if a call about it is under way.
-        expires_at: When a start that got no answer can't happen any more.
     """
 
     def __init__(
@@ -41,7 +40,6 @@
         self.order = order
         self.state = RunState.STARTING
         self.settled_at: float | None = None
-        self.expires_at = 0.0
 
     def describe(self) -> scheduling.Run:
         """Returns the run as the owner wants to know it."""
@@ -75,7 +73,6 @@
     Attributes:
         ends: Ends that the owner has not noted.
         missing: Runs that have not started and never will.
-        lingering: Runs whose start got no answer and that do run.
     """
 
     ends: tuple[scheduling.End, ...]
@@ -135,7 +132,7 @@
 
     def note_started(self, task: str, run: int, now: float) -> None:
         """Takes in that the runner has taken a start."""
-        self._settle(task, run, RunState.STARTED, now)
+        self._settle(task, run, now)
 
     def note_refused(self, task: str, run: int) -> None:
         """Takes in that the runner has refused a start."""
@@ -143,26 +140,22 @@
         if known is not None and known.run == run:
             del self.runs[task]
 
-    def note_unanswered(
-        self, task: str, run: int, now: float, expires_at: float
-    ) -> None:
+    def note_unanswered(self, task: str, run: int, expires_at: float) -> None:
         """Takes in that a start got no answer.
 
         Args:
             task: The task's name.
             run: The number of the run.
-            now: The time, in seconds.
             expires_at: When the runner will refuse the start as too late.
         """
         known = self.runs.get(task)
         if known is not None and known.run == run:
             known.state = RunState.UNKNOWN
-            known.expires_at = expires_at
             known.settled_at = expires_at
 
     def note_stopped(self, task: str, run: int, now: float) -> None:
         """Takes in that the runner will refuse a run that is not there."""
-        self._settle(task, run, RunState.STARTED, now)
+        self._settle(task, run, now)
 
     def take_look(self, look: Look) -> News:
         """Takes in what runs and what ended."""
@@ -216,10 +209,10 @@
             known.state = RunState.STARTED
             known.settled_at = asked_at
 
-    def _settle(self, task: str, run: int, state: RunState, now: float) -> None:
+    def _settle(self, task: str, run: int, now: float) -> None:
         known = self.runs.get(task)
         if known is not None and known.run == run:
-            known.state = state
+            known.state = RunState.STARTED
             known.settled_at = now
 
     def _has_room(
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -116,7 +116,7 @@
     def count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
         return sum(
-            job.queue.name == queue and not job.is_started
+            job.queue.name == queue and not job.started
             for job in self.jobs.values()
         )
 
@@ -192,8 +192,7 @@
             if task is not None and task.state is active.TaskState.WAITING:
                 task.run += SKIPPED_RUNS
         elif message.reason not in ("draining", "room"):
-            worker.speed.failures += 1
-            worker.speed.failed_at = now
+            worker.speed.note_failure(now)
 
     def lose_runner(self, message: scheduling.RunnerLost, now: float) -> None:
         """Takes in that all on a runner is over and it does not answer."""
@@ -262,9 +261,8 @@
         now: float,
     ) -> None:
         step = job.job.steps[task.step]
-        task.run = max(task.run, self._jobs.memory.find_run(task.name)) + 1
-        task.side = worker.side
-        task.state = active.TaskState.PLACED
+        run = max(task.run, self._jobs.memory.find_run(task.name)) + 1
+        task.place(run, worker.side)
         job.started = True
         worker.add(
             worker_lib.Placed(task.name, task.run, step, now, expected_s)
@@ -326,8 +324,7 @@
         if end.ending is scheduling.Ending.FAILED:
             task.failures += 1
             task.shunned.add(worker.side)
-            worker.speed.failures += 1
-            worker.speed.failed_at = now
+            worker.speed.note_failure(now)
         self._end_if_done(job, now)
 
     def _learn(
@@ -413,9 +410,7 @@
         run: int,
         now: float,
     ) -> None:
-        task.run = run
-        task.side = worker.side
-        task.state = active.TaskState.PLACED
+        task.place(run, worker.side)
         job.started = True
         job.record(task.name, run, worker.side, "adopted", now)
 
--- a/src/skylarkcleat/scheduling/speed.py
+++ b/src/skylarkcleat/scheduling/speed.py
@@ -31,6 +31,11 @@
         self.failures = 0
         self.failed_at = 0.0
 
+    def note_failure(self, now: float) -> None:
+        """Takes in that a run failed or could not start."""
+        self.failures += 1
+        self.failed_at = now
+
     def find_factor(self, now: float) -> float:
         """Returns the factor on durations; a slow one is forgotten."""
         if self._log <= 0:
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -132,12 +132,6 @@
         self._count(placed.step, -1)
         return placed
 
-    def find_free_share(self) -> float:
-        """Returns the share of the processor that is free, from 0 to 1."""
-        if self.runner is None or self.runner.cpu <= 0:
-            return 0.0
-        return 1 - self._cpu / self.runner.cpu
-
     def _count(self, step: scheduling.Step, sign: int) -> None:
         self._cpu += sign * step.cpu
         self._memory_mb += sign * step.memory_mb
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -153,7 +153,7 @@
             eliot.log_message(
                 "side:lease", epoch=grant.epoch, owner=self._knowledge.owner
             )
-            self._spawn(self._report())
+            self._spawn(self._look(0))
 
     def _take_order(self, message: t.Any) -> None:
         if isinstance(message, scheduling.Start):
@@ -198,9 +198,7 @@
             self._ledger.note_started(order.task, order.run, self._now())
         elif answer.status == runner_client.UNANSWERED:
             expires_at = sent_at + self._hold_s * (1 + lease.CLOCK_DRIFT) + 0.05
-            self._ledger.note_unanswered(
-                order.task, order.run, self._now(), expires_at
-            )
+            self._ledger.note_unanswered(order.task, order.run, expires_at)
             await self._resolve(order)
         else:
             self._ledger.note_refused(order.task, order.run)
@@ -236,12 +234,6 @@
         hold_s = min(self._hold_s, self._tenure.find_left(now))
         return self._clock.find_time(now, hold_s)
 
-    async def _report(self) -> None:
-        epoch = self._tenure.epoch
-        if await self._look(0) is None or epoch != self._tenure.epoch:
-            return
-        self._reported_epoch = epoch
-
     async def _look(self, wait_ms: int) -> ledger_lib.News | None:
         """Asks the runner for its runs and tells the owner what changed."""
         epoch = self._tenure.epoch
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -298,6 +298,11 @@
         url = self.fleet.control_url(front, "/api/config/put")
         return await self.call("POST", url, body)
 
+    async def configure(self) -> None:
+        """Puts a first configuration and waits until jobs are served."""
+        await self.put(0, 1)
+        await self.wait_served()
+
     async def wait_ready(self) -> None:
         end = time.monotonic() + START_TIMEOUT_S
         for number in range(len(self.fleet.fronts)):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -77,8 +77,7 @@
 
 def test_a_job_resent_to_another_front_runs_once(play):
     async def scene(caller):
-        await caller.put(0, 1)
-        await caller.wait_served()
+        await caller.configure()
         for runner in caller.fleet.runners:
             runner.delay_s = 0.6
         job = "00000000000000ba"
@@ -94,8 +93,7 @@
 
 def test_a_draining_runner_gets_no_new_task(play):
     async def scene(caller):
-        await caller.put(0, 1)
-        await caller.wait_served()
+        await caller.configure()
         leaving, staying = caller.fleet.runners
         leaving.state = "draining"
         while leaving.acknowledged[-1] != "draining":
@@ -112,8 +110,7 @@
 
 def test_work_outlives_the_owner(play):
     async def scene(caller):
-        await caller.put(0, 1)
-        await caller.wait_served()
+        await caller.configure()
         for runner in caller.fleet.runners:
             runner.delay_s = 1.5
         job = "00000000000000da"
@@ -136,8 +133,7 @@
 
 def test_a_front_that_stops_cuts_no_request_short(play):
     async def scene(caller):
-        await caller.put(0, 1)
-        await caller.wait_served()
+        await caller.configure()
         for runner in caller.fleet.runners:
             runner.delay_s = 1.0
         for number, front in enumerate(caller.fleet.fronts[:3]):
--- a/tests/test_scheduling_ledger.py
+++ b/tests/test_scheduling_ledger.py
@@ -61,7 +61,7 @@
 
 def test_an_unanswered_start_is_not_missing_before_it_expires(ledger):
     ledger.admit(_order())
-    ledger.note_unanswered("t", 1, 1.0, expires_at=2.1)
+    ledger.note_unanswered("t", 1, expires_at=2.1)
     assert not ledger.take_look(_look(2.0)).missing
     assert ledger.admit(_order("b", cpu=2000)) == "room"
     (missing,) = ledger.take_look(_look(2.2)).missing
@@ -70,14 +70,14 @@
 
 def test_an_unanswered_start_that_runs_is_kept(ledger):
     ledger.admit(_order())
-    ledger.note_unanswered("t", 1, 1.0, expires_at=2.1)
+    ledger.note_unanswered("t", 1, expires_at=2.1)
     ledger.take_look(_look(1.1, running=[("t", 1)]))
     assert ledger.runs["t"].state is ledger_lib.RunState.STARTED
 
 
 def test_a_stop_settles_an_unanswered_start_at_once(ledger):
     ledger.admit(_order())
-    ledger.note_unanswered("t", 1, 1.0, expires_at=2.1)
+    ledger.note_unanswered("t", 1, expires_at=2.1)
     ledger.note_stopped("t", 1, 1.2)
     assert ledger.take_look(_look(1.3)).missing
 
