Count an end that is told twice as one attempt

Two looks at a runner can overlap (one that waits for an end, one that resolves an unanswered start), and both tell the owner the same end before it is noted. The owner took the second as current while the task waited, and counted the failure again.

Change: an end that didn't come to 'done' counts only while its run is placed.

Result: a pure test of the order of messages fails before and passes after.

--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -320,6 +320,9 @@
             task.state = active.TaskState.DONE
         elif task.state is active.TaskState.PLACED:
             task.state = active.TaskState.WAITING
+        else:
+            # The same end was told before and has counted.
+            return
         self._jobs.queue(job)
         if end.ending is scheduling.Ending.FAILED:
             task.failures += 1
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -253,6 +253,17 @@
     assert not _take(owner, scheduling.Start, 0.4)
 
 
+def test_an_end_that_is_told_twice_is_one_attempt(owner):
+    """Two looks at a runner may tell the same end before it is noted."""
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (first,) = _take(owner, scheduling.Start, 0.0)
+    failed = _end(epoch, first, scheduling.Ending.FAILED)
+    owner.end_runs(failed, 0.1)
+    owner.end_runs(failed, 0.1)
+    assert not _take(owner, scheduling.Reply)
+
+
 @pytest.mark.parametrize(
     "ending",
     [scheduling.Ending.LAPSED, scheduling.Ending.STOPPED],
