Test the whole chain under virtual time, and close what it found

Real fronts and side processes now run on an event loop under virtual time (processes freeze and die, messages are cut and delayed, orders at runners get lost), and every run of a task is recorded.

Ruled out: a second model of the protocol (it would prove the model).

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -29,6 +29,9 @@
 BETTER_S = 3.0
 """A front that suits better takes over once it has followed for so long."""
 
+KEPT_TERMS = 8
+"""For so many terms it is remembered who handed over to whom."""
+
 UNSUITED = 10_000
 """The rank of a front that is about to stop."""
 
@@ -61,14 +64,15 @@
         rank: How well it suits; `UNSUITED` once it is about to stop.
         followed: The owner that this front follows, itself included.
         heard_at: When it last heard that owner.
-        released_term: Every owner up to this term handed its jobs over.
+        inherited: The terms of owners that handed their jobs over to the
+            followed one, or to one that did.
     """
 
     def __init__(self, me: str, rank: int, first_at: float, now: float) -> None:
         self.rank = rank
         self.followed = locating.OwnerRef()
         self.heard_at = float("-inf")
-        self.released_term = 0
+        self.inherited: tuple[int, ...] = ()
         self._me = me
         self._first_at = first_at
         self._highest_term = 0
@@ -133,7 +137,7 @@
             return None
         self.followed = locating.OwnerRef(sender, beat.term)
         self.heard_at = now
-        self.released_term = max(self.released_term, beat.released_term)
+        self.inherited = beat.inherited
         return owning.BeatReply(beat.term, beat.sent_at)
 
     def take_reply(
@@ -154,14 +158,15 @@
         is_late = handover.term < self.followed.term
         if not self.is_owner and (is_late or self.rank == UNSUITED):
             return False
-        self.released_term = max(self.released_term, handover.term)
+        own = (self.followed.term, *self.inherited) if self.is_owner else ()
+        inherited = {handover.term, *handover.inherited, *own}
         self._claim(self._highest_term + 1, now)
+        self.inherited = tuple(sorted(inherited))[-KEPT_TERMS:]
         return True
 
     def resign(self, heir: str, now: float) -> None:
         """Stops owning the jobs in favour of another front."""
         self.followed = locating.OwnerRef(heir, self.followed.term)
-        self.released_term = max(self.released_term, self.followed.term)
         self.heard_at = now
         self._followers.clear()
 
@@ -189,6 +194,7 @@
 
     def _claim(self, term: int, now: float) -> None:
         self.followed = locating.OwnerRef(self._me, term)
+        self.inherited = ()
         self.heard_at = now
         self._highest_term = term
         self._followers.clear()
@@ -216,7 +222,7 @@
             return (beat.sides, beat.term, sender) > mine
         if beat.term <= followed.term:
             return False
-        return beat.released_term >= followed.term or not self.is_heard(now)
+        return followed.term in beat.inherited or not self.is_heard(now)
 
 
 def find_rank(has_disk: bool, cores: float, link_mbps: float) -> int:
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -61,7 +61,7 @@
         """Takes over the jobs of another owner, beside its own."""
         eliot.log_message("owner:extended", term=term, former_term=self.term)
         self.term = term
-        self._owner.expect(sides, clock_lib.read_monotonic())
+        self._owner.extend(sides, clock_lib.read_monotonic())
 
     def end(self, reason: str) -> tuple[str, ...]:
         """Stops being the owner; returns the side processes it had."""
@@ -82,8 +82,11 @@
         self, front: session_lib.Endpoint, reply: owning.BeatReply
     ) -> None:
         """Takes in that a front follows this owner."""
-        if self._owner is not None:
-            self._owner.attendance.note_answer(front, reply.sent_at)
+        now = clock_lib.read_monotonic()
+        if self._owner is None:
+            return
+        if self._owner.note_answer(front, reply.sent_at, now):
+            self._send(front, owning.Resubmit(self.term))
 
     def receive(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         """Takes in a message for the owner."""
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -269,14 +269,10 @@
                 self._jobs.send_again()
             return
         peer, message = event.peer, event.message
-        if isinstance(message, locating.GiveConfiguration):
-            self._configurations.take(content.decode(message.content))
-        elif isinstance(message, locating.LocatingMessage):
-            answer = self._rendezvous.receive(peer.name, message)
-            if answer is not None:
-                self._hub.send(peer, answer)
+        if isinstance(message, locating.LocatingMessage):
+            self._locate(peer, message)
         elif isinstance(message, owning.OwningMessage):
-            self._succession.receive(peer, message)
+            self._succeed(peer, message)
         elif isinstance(message, scheduling.Reply):
             self._take_reply(message)
         elif isinstance(message, scheduling.LogMessage):
@@ -284,6 +280,24 @@
         else:
             self._ownership.receive(peer, message)
 
+    def _locate(
+        self, peer: session_lib.Endpoint, message: locating.LocatingMessage
+    ) -> None:
+        if isinstance(message, locating.GiveConfiguration):
+            self._configurations.take(content.decode(message.content))
+            return
+        answer = self._rendezvous.receive(peer.name, message)
+        if answer is not None:
+            self._hub.send(peer, answer)
+
+    def _succeed(
+        self, peer: session_lib.Endpoint, message: owning.OwningMessage
+    ) -> None:
+        if not isinstance(message, owning.Resubmit):
+            self._succession.receive(peer, message)
+        elif message.term == self._election.followed.term:
+            self._jobs.send_again()
+
     def _take_reply(self, reply: scheduling.Reply) -> None:
         if self._configurations.note_version(reply.version):
             owner = self._election.followed.name
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -160,7 +160,7 @@
 
     def _forward(self, number: int, opened: _Open) -> None:
         term = self._target.find_term()
-        if not term:
+        if not term or opened.reply.done():
             return
         former_term = opened.sent_term
         passage = Passage(
--- a/src/skylarkcleat/front/succession.py
+++ b/src/skylarkcleat/front/succession.py
@@ -30,9 +30,6 @@
 """A front that became the owner so soon after its start, and hears of no
 owner before, follows a restart of all: what ran before has lapsed."""
 
-KEPT_TERMS = 8
-"""For so many terms a front remembers when it last followed them."""
-
 
 class Succession:
     """Carries out this front's part in the choice of an owner.
@@ -85,7 +82,7 @@
         """Returns in how many seconds nothing runs under a former owner."""
         election = self._election
         is_same = former_term == election.followed.term
-        if is_same or former_term <= election.released_term:
+        if is_same or former_term in election.inherited:
             return 0.0
         now = clock_lib.read_monotonic()
         followed_at = self._followed_at.get(former_term, now)
@@ -127,6 +124,7 @@
     def _take_beat(self, sender: str, beat: owning.Beat, now: float) -> None:
         election = self._election
         former = election.followed
+        inherited = election.inherited
         was_owner = election.is_owner
         sides = len(self._ownership.sides)
         reply = election.take_beat(sender, beat, sides, now)
@@ -137,14 +135,14 @@
         if reply is None:
             return
         if was_owner:
-            self._yield(sender, former.term)
+            self._yield(sender, former.term, inherited)
         self._note_followed(now)
         self._send(sender, reply)
 
     def _note_followed(self, now: float) -> None:
         followed_at = self._followed_at
         followed_at[self._election.followed.term] = now
-        while len(followed_at) > KEPT_TERMS:
+        while len(followed_at) > election_lib.KEPT_TERMS:
             del followed_at[min(followed_at)]
 
     def _begin(
@@ -166,6 +164,7 @@
             former.term,
             known.names if is_complete else (),
             now if is_settled else now + lease.SETTLE_S,
+            self._list_fronts(now),
         )
         self._ownership.begin(election.followed.term, predecessor)
         self._announce(known.names, now)
@@ -184,10 +183,12 @@
             self._ownership.begin(term, predecessor)
         self._announce(handover.sides, now)
 
-    def _yield(self, winner: str, term: int) -> None:
+    def _yield(
+        self, winner: str, term: int, inherited: tuple[int, ...]
+    ) -> None:
         """Leaves the jobs to another owner, which has more side processes."""
         sides = self._ownership.end(f"{winner} owns the jobs too")
-        self._send(winner, owning.Handover(term, sides))
+        self._send(winner, owning.Handover(term, inherited, sides))
         self._move(sides, winner, term)
 
     def _hand_over(self, heir: str, now: float) -> None:
@@ -195,9 +196,10 @@
             return
         term = self._election.followed.term
         sides = self._ownership.end(f"handed over to {heir}")
+        inherited = self._election.inherited
         self._election.resign(heir, now)
         self._note_followed(now)
-        self._send(heir, owning.Handover(term, sides))
+        self._send(heir, owning.Handover(term, inherited, sides))
         self._move(sides, heir, term)
 
     def _move(self, sides: t.Iterable[str], owner: str, term: int) -> None:
@@ -228,14 +230,18 @@
         sides = self._ownership.sides
         beat = owning.Beat(
             election.followed.term,
-            election.released_term,
+            election.inherited,
             now,
             len(sides),
             self._configurations.version,
         )
-        for name in self._knowledge.list_names(self._me.name, now):
+        for name in self._list_fronts(now):
             self._send(name, beat)
 
+    def _list_fronts(self, now: float) -> tuple[str, ...]:
+        """Returns the names of the other fronts that are known."""
+        return tuple(self._knowledge.list_names(self._me.name, now))
+
     def _tell_sides(self, front: session_lib.Endpoint) -> None:
         term = self._election.followed.term
         message = owning.Sides(term, self._ownership.sides)
--- a/src/skylarkcleat/protocol/owning.py
+++ b/src/skylarkcleat/protocol/owning.py
@@ -14,14 +14,14 @@
 
     Attributes:
         term: Its term.
-        released_term: Every owner up to this term handed its jobs over.
+        inherited: The terms of former owners that handed their jobs over.
         sent_at: The owner's clock, in seconds.
         sides: How many side processes it has.
         version: The version of its configuration.
     """
 
     term: int
-    released_term: int
+    inherited: tuple[int, ...]
     sent_at: float
     sides: int
     version: int
@@ -51,15 +51,26 @@
     names: tuple[str, ...]
 
 
+class Resubmit(t.NamedTuple):
+    """The owner asks a front for its open requests again.
+
+    It has forgotten them, since the front did not answer for a while.
+    """
+
+    term: int
+
+
 class Handover(t.NamedTuple):
     """An owner asks another front to own the jobs in its place.
 
     Attributes:
         term: The term of the owner that ends.
+        inherited: The terms of those before it that handed over to it.
         sides: Its side processes.
     """
 
     term: int
+    inherited: tuple[int, ...]
     sides: tuple[str, ...]
 
 
@@ -75,4 +86,4 @@
     term: int
 
 
-OwningMessage = Beat | BeatReply | Sides | Handover | Moved
+OwningMessage = Beat | BeatReply | Sides | Resubmit | Handover | Moved
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -336,6 +336,18 @@
     gpu: int
 
 
+class Keep(t.NamedTuple):
+    """The owner takes over a run that was ordered under a former lease.
+
+    Without it the run is stopped when the former lease ends, since its former
+    owner may then start the task elsewhere.
+    """
+
+    epoch: int
+    task: str
+    run: int
+
+
 class Stop(t.NamedTuple):
     """The owner orders the end of a run."""
 
@@ -390,6 +402,7 @@
     | Renewed
     | Unregistered
     | Start
+    | Keep
     | Stop
     | NotStarted
     | Ended
--- a/src/skylarkcleat/scheduling/attendance.py
+++ b/src/skylarkcleat/scheduling/attendance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing as t
 
 from skylarkcleat.scheduling import lease
@@ -21,11 +22,20 @@
 
     Args:
         me: The owner's own front, which is always present.
+        others: The names of the other fronts that are known; each is missing
+            until it answers.
+        now: The time, in seconds.
     """
 
-    def __init__(self, me: session_lib.Endpoint) -> None:
+    def __init__(
+        self,
+        me: session_lib.Endpoint,
+        others: collections.abc.Iterable[str],
+        now: float,
+    ) -> None:
         self._me = me
-        self._answers: dict[str, _Answer] = {}
+        unanswered = _Answer(-1, now - lease.FRONT_LEASE_S)
+        self._answers = dict.fromkeys(others, unanswered)
 
     def note_answer(self, front: session_lib.Endpoint, sent_at: float) -> None:
         """Takes in that a front answered a beat sent at `sent_at`."""
--- a/src/skylarkcleat/scheduling/lease.py
+++ b/src/skylarkcleat/scheduling/lease.py
@@ -11,20 +11,26 @@
 CLOCK_DRIFT = 0.03
 """How much slower another clock may run; runners' clocks allow 2 %."""
 
-EXPIRY_SLACK_S = 0.15
+EXPIRY_SLACK_S = 0.1
 """Time for a runner to end what lapsed, which takes at most 50 ms."""
 
-BEAT_S = 0.1
+STOP_S = 0.08
+"""A run that must have ended by some time is stopped so long before it."""
+
+STOP_LIMIT_S = 0.5
+"""If a run can't be stopped for so long, all on its runner lapses."""
+
+BEAT_S = 0.08
 """How often the owner asks the fronts whether they follow it."""
 
-FRONT_LEASE_S = 0.35
+FRONT_LEASE_S = 0.3
 """How long the owner may run a front's jobs after the beat it answered."""
 
-OWNER_SILENCE_S = 0.4
+OWNER_SILENCE_S = 0.35
 """Without a beat for so long, a front or side process looks for another
 owner. It is longer than `FRONT_LEASE_S`, so the former owner knows first."""
 
-LEASE_S = 0.7
+LEASE_S = 0.75
 """How long a side process may act after it asked for its lease.
 
 Finding another owner and a new registration fit in, so that work outlives an
--- a/src/skylarkcleat/scheduling/ledger.py
+++ b/src/skylarkcleat/scheduling/ledger.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
 
 
 class RunState(enum.Enum):
@@ -30,6 +31,9 @@
         state: What is known of it.
         settled_at: From when on a look at the runner shows whether it is
             there; None if a call about it is under way.
+        stop_at: When to stop it; None if it may go on.
+        ends_by: When it must have ended: until its end is certain, nothing on
+            the runner may go on for longer; None if it may go on.
     """
 
     def __init__(
@@ -40,6 +44,8 @@
         self.order = order
         self.state = RunState.STARTING
         self.settled_at: float | None = None
+        self.stop_at: float | None = None
+        self.ends_by: float | None = None
 
     def describe(self) -> scheduling.Run:
         """Returns the run as the owner wants to know it."""
@@ -94,12 +100,63 @@
         self.runs: dict[str, LocalRun] = {}
         self._born_ms = 0
         self._told = 0
+        self._former_until = float("-inf")
 
     @property
     def has_unnoted_ends(self) -> bool:
         """Whether the owner was told of ends that it has not noted yet."""
         return self._told > self.noted
 
+    def begin_lease(self, former_until: float) -> None:
+        """Takes in that another lease begins: its owner knows no run yet.
+
+        Args:
+            former_until: When the former lease would have ended; runs that
+                the new owner has not taken over by then must have ended.
+        """
+        self._former_until = former_until
+        for known in self.runs.values():
+            self._end_with_lease(known)
+
+    def keep(self, task: str, run: int) -> None:
+        """Takes in that the present owner has taken a run over."""
+        known = self.runs.get(task)
+        if known is not None and known.run == run:
+            known.stop_at = None
+            known.ends_by = None
+
+    def order_stop(self, task: str, run: int, now: float) -> bool:
+        """Takes in that a run is to be stopped.
+
+        Returns:
+            Whether it is known; otherwise the runner alone can tell.
+        """
+        known = self.runs.get(task)
+        if known is None or known.run != run:
+            return False
+        known.stop_at = now
+        ends_by = now + lease.STOP_LIMIT_S
+        known.ends_by = min(known.ends_by or ends_by, ends_by)
+        return True
+
+    def list_overdue(self, now: float) -> list[LocalRun]:
+        """Returns the runs that are to be stopped by now."""
+        return [
+            known
+            for known in self.runs.values()
+            if known.stop_at is not None and known.stop_at <= now
+        ]
+
+    def find_next_stop(self) -> float | None:
+        """Returns when the next run is to be stopped; None for never."""
+        times = [known.stop_at for known in self.runs.values()]
+        return min((at for at in times if at is not None), default=None)
+
+    def find_limit(self) -> float | None:
+        """Returns until when the runner may be held; None for no limit."""
+        times = [known.ends_by for known in self.runs.values()]
+        return min((at for at in times if at is not None), default=None)
+
     def take_runner(self, runner: scheduling.Runner) -> bool:
         """Takes in a report of the runner.
 
@@ -154,8 +211,9 @@
             known.settled_at = expires_at
 
     def note_stopped(self, task: str, run: int, now: float) -> None:
-        """Takes in that the runner will refuse a run that is not there."""
+        """Takes in that the runner ends a run, or will refuse it."""
         self._settle(task, run, now)
+        self.keep(task, run)
 
     def take_look(self, look: Look) -> News:
         """Takes in what runs and what ended."""
@@ -205,10 +263,15 @@
             known = self.runs[task] = LocalRun(task, run, None)
             known.settled_at = asked_at
             known.state = RunState.STARTED
+            self._end_with_lease(known)
         elif known.run == run and known.state is RunState.UNKNOWN:
             known.state = RunState.STARTED
             known.settled_at = asked_at
 
+    def _end_with_lease(self, known: LocalRun) -> None:
+        known.ends_by = self._former_until
+        known.stop_at = self._former_until - lease.STOP_S
+
     def _settle(self, task: str, run: int, now: float) -> None:
         known = self.runs.get(task)
         if known is not None and known.run == run:
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -48,11 +48,13 @@
         sides: Its side processes.
         settled_at: Before this time others may run tasks, in seconds; it may
             have passed if `sides` are all.
+        fronts: The other fronts that are known; they may follow it still.
     """
 
     term: int = 0
     sides: tuple[str, ...] = ()
     settled_at: float = 0.0
+    fronts: tuple[str, ...] = ()
 
 
 class Owner:
@@ -71,7 +73,7 @@
     def __init__(
         self, me: session_lib.Endpoint, predecessor: Predecessor, now: float
     ) -> None:
-        self.attendance = attendance_lib.Attendance(me)
+        self.attendance = attendance_lib.Attendance(me, predecessor.fronts, now)
         self.outbox: list[Outgoing] = []
         self._former_term = predecessor.term
         self._workers = workers_lib.Workers(
@@ -99,9 +101,28 @@
         """Returns whether no runner may run what this owner does not know."""
         return self._workers.is_settled(now)
 
-    def expect(self, sides: t.Iterable[str], now: float) -> None:
-        """Takes over the side processes of another owner that ended."""
+    def extend(self, sides: t.Iterable[str], now: float) -> None:
+        """Takes over from another owner that ended, in a new term.
+
+        Every front hands its open jobs in again.
+        """
         self._workers.expect(sides, now)
+        self._jobs.drop_waiters(lambda _: True)
+
+    def note_answer(
+        self, front: session_lib.Endpoint, sent_at: float, now: float
+    ) -> bool:
+        """Takes in that a front follows this owner.
+
+        Returns:
+            Whether it had been silent: its requests are forgotten, since it
+            may have followed another owner meanwhile.
+        """
+        was_present = self.attendance.is_present(front, now)
+        if not was_present:
+            self._jobs.drop_waiters(lambda w: w.peer.name == front.name)
+        self.attendance.note_answer(front, sent_at)
+        return not was_present and self.attendance.is_present(front, now)
 
     def submit(
         self,
@@ -117,6 +138,7 @@
         if known is not None:
             if waiter not in known.waiters:
                 known.waiters.append(waiter)
+            self._hold_back(known, message, now)
             self._jobs.queue(known)
             return
         verdict = self._jobs.memory.find_verdict(job.id)
@@ -125,14 +147,21 @@
             return
         added = self._jobs.add(message, queue, now)
         added.waiters.append(waiter)
-        if message.former_term != self._former_term:
-            added.startable_at = now + message.lapse_ms / 1000
+        self._hold_back(added, message, now)
         for task in added.tasks:
             for worker, placed in self._workers.list_runs(task.name):
                 self._adopt(added, task, worker, placed.run, now)
         if not self._end_if_done(added, now):
             self._jobs.queue(added)
 
+    def _hold_back(
+        self, job: active.ActiveJob, message: scheduling.Submit, now: float
+    ) -> None:
+        """Starts nothing while a former owner's tasks of a job may run."""
+        if message.former_term != self._former_term:
+            startable_at = now + message.lapse_ms / 1000
+            job.startable_at = max(job.startable_at, startable_at)
+
     def abandon(self, peer: session_lib.Endpoint, request: int) -> None:
         """Takes in that a caller has gone."""
         gone = active.Waiter(peer, request)
@@ -260,9 +289,7 @@
         may hand them in there.
         """
         self._jobs.note_attended(lambda job: self._is_attended(job, now), now)
-        is_disputed = self.attendance.is_any_missing(
-            now
-        ) and self._workers.is_any_missing(now)
+        is_disputed = self.attendance.is_any_missing(now)
         keep_s = 0.0 if is_disputed else job_table_lib.ABANDONED_S
         for job in self._jobs.list_abandoned(now, keep_s):
             detail = "its caller has gone"
@@ -461,11 +488,14 @@
         task.place(run, worker.side)
         job.started = True
         job.record(task.name, run, worker.side, "adopted", now)
+        keep = scheduling.Keep(worker.epoch, task.name, run)
+        self._send(worker.peer, keep)
 
     def _take_running(
         self, worker: worker_lib.Worker, run: scheduling.Run, now: float
     ) -> None:
         if run.task in worker.runs:
+            self._keep_or_stop(worker, run)
             return
         self._jobs.memory.note_run(run.task, run.run)
         step = self._find_size(worker, run)
@@ -475,12 +505,24 @@
         task = job.find_task(run.task) if job else None
         if task is None:
             return
-        if task.state is active.TaskState.WAITING and run.run > task.run:
+        if task.state is active.TaskState.WAITING:
             self._adopt(job, task, worker, run.run, now)
         else:
             stop = scheduling.Stop(worker.epoch, run.task, run.run)
             self._send(worker.peer, stop)
 
+    def _keep_or_stop(
+        self, worker: worker_lib.Worker, run: scheduling.Run
+    ) -> None:
+        """Answers a side process that reports a run of its former lease."""
+        task = self._jobs.find_task(run.task)
+        is_placed = task is not None and (
+            (task.state, task.run, task.side)
+            == (active.TaskState.PLACED, run.run, worker.side)
+        )
+        kind = scheduling.Keep if is_placed else scheduling.Stop
+        self._send(worker.peer, kind(worker.epoch, run.task, run.run))
+
     def _find_size(
         self, worker: worker_lib.Worker, run: scheduling.Run
     ) -> scheduling.Step:
--- a/src/skylarkcleat/scheduling/tenure.py
+++ b/src/skylarkcleat/scheduling/tenure.py
@@ -13,19 +13,22 @@
 
     Args:
         epoch: Every fencing token that the runner has seen is smaller.
+        now: The time, in seconds; a former process may have had a lease.
 
     Attributes:
         owner: The owner that gave the lease.
         epoch: The fencing token of its orders; 0 without a lease.
         heard_at: When that owner last answered, in seconds.
         asked: The owner that was asked for a lease, and for which epoch.
+        former_until: When the lease before this one would have ended.
     """
 
-    def __init__(self, epoch: int) -> None:
+    def __init__(self, epoch: int, now: float) -> None:
         self.owner = NO_OWNER
         self.epoch = 0
         self.heard_at = float("-inf")
         self.asked = (NO_OWNER, 0)
+        self.former_until = now + lease.LEASE_S
         self._last_epoch = epoch
         self._until = 0.0
 
@@ -47,6 +50,7 @@
             return False
         if epoch == self.epoch:
             return False
+        self.former_until = max(self.former_until, self._until)
         self.owner = owner
         self.epoch = epoch
         self.heard_at = asked_at
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -18,9 +18,6 @@
 The fronts are told of it meanwhile, so that one that takes over knows every
 side process that may run tasks."""
 
-REMEMBER_S = 30.0
-"""How long a side process that was lost counts as missing."""
-
 
 class Workers:
     """Gives leases, and knows which of a former owner's may still last.
@@ -45,16 +42,17 @@
         self.settled_at = settled_at
         self._unheard: dict[str, float] = {}
         self._told: dict[str, float] = {}
-        self._lost: dict[str, float] = {}
         self._speeds: dict[str, speed_lib.Speed] = {}
         self.expect(sides, now)
 
     def expect(self, sides: collections.abc.Iterable[str], now: float) -> None:
-        """Takes in that side processes may run tasks of a former owner."""
+        """Takes in that side processes may run tasks of a former owner.
+
+        One that is here already may have been there as well.
+        """
         for side in sides:
             self._told[side] = now - QUARANTINE_S
-            if side not in self.by_side:
-                self._unheard[side] = lease.find_expiry(now)
+            self._unheard[side] = lease.find_expiry(now)
 
     def is_settled(self, now: float) -> bool:
         """Returns whether no runner may run what this owner does not know."""
@@ -64,15 +62,6 @@
         """Returns the names of all side processes that may run tasks."""
         return tuple(sorted({*self.by_side, *self._unheard}))
 
-    def is_any_missing(self, now: float) -> bool:
-        """Returns whether a known side process may obey another owner."""
-        if any(now - at < REMEMBER_S for at in self._lost.values()):
-            return True
-        return any(
-            now - worker.granted_at >= lease.FRONT_LEASE_S
-            for worker in self.by_side.values()
-        )
-
     def register(
         self,
         peer: session_lib.Endpoint,
@@ -92,7 +81,6 @@
             for placed in former.runs.values():
                 worker.add(placed)
         self.by_side[message.side] = worker
-        self._lost.pop(message.side, None)
         return worker
 
     def find(self, side: str, epoch: int) -> worker_lib.Worker | None:
@@ -111,7 +99,6 @@
     ) -> None:
         """Ends a lease under which nothing can run any more."""
         del self.by_side[worker.side]
-        self._lost[worker.side] = now
         self._told.pop(worker.side, None)
         eliot.log_message(
             "owner:worker-lost",
@@ -139,7 +126,6 @@
         ]
         for side in gone:
             del self._unheard[side]
-            self._lost[side] = now
             self._told.pop(side, None)
             eliot.log_message("owner:side-unheard", side=side)
 
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import typing as t
 
@@ -63,7 +64,9 @@
         self._port = settings.port_range[0]
         seeds = settings_lib.list_seed_ips(settings)
         self._knowledge = knowledge_lib.Knowledge(seeds, random.Random())
-        self._tenure = tenure_lib.Tenure(clock_lib.read_wall_ms())
+        self._tenure = tenure_lib.Tenure(
+            clock_lib.read_wall_ms(), clock_lib.read_monotonic()
+        )
         self._ledger = ledger_lib.Ledger()
         self._clock = runner_clock.RunnerClock()
         self._reported_epoch = 0
@@ -73,11 +76,17 @@
         self._sequence = 0
         self._is_lost = False
         self._wake = asyncio.Event()
+        self._stops = asyncio.Event()
         self._calls: set[asyncio.Task] = set()
 
     def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
         """Returns what has to run while the process does."""
-        return [self._listen(), self._keep_lease(), self._keep_runs()]
+        return [
+            self._listen(),
+            self._keep_lease(),
+            self._keep_runs(),
+            self._keep_stopping(),
+        ]
 
     def take_heartbeat(self, heartbeat: runner_body.Heartbeat) -> None:
         """Takes in a heartbeat of the runner."""
@@ -182,6 +191,8 @@
             return
         # A former process may have let its runs go on until just now.
         self._held_at = self._now()
+        self._ledger.begin_lease(self._tenure.former_until)
+        self._stops.set()
         eliot.log_message(
             "side:lease",
             epoch=grant.epoch,
@@ -194,8 +205,10 @@
     def _take_order(self, message: t.Any) -> None:
         if isinstance(message, scheduling.Start):
             self._take_start(message)
+        elif isinstance(message, scheduling.Keep):
+            self._ledger.keep(message.task, message.run)
         elif isinstance(message, scheduling.Stop):
-            self._spawn(self._stop(message))
+            self._take_stop(message)
         elif isinstance(message, scheduling.Noted):
             self._ledger.note_noted(message.number)
             self._wake.set()
@@ -255,6 +268,27 @@
             await self._stop(stop)
             await self._look(0)
 
+    def _take_stop(self, order: scheduling.Stop) -> None:
+        if self._ledger.order_stop(order.task, order.run, self._now()):
+            self._stops.set()
+        else:
+            self._spawn(self._stop(order))
+
+    async def _keep_stopping(self) -> None:
+        """Stops runs when it is time, again until it is certain."""
+        while True:
+            stop_at = self._ledger.find_next_stop()
+            wait_s = None if stop_at is None else stop_at - self._now()
+            if wait_s is None or wait_s > 0:
+                await self._wait_for(self._stops, wait_s)
+                self._stops.clear()
+                continue
+            for known in self._ledger.list_overdue(self._now()):
+                epoch = self._tenure.epoch
+                stop = scheduling.Stop(epoch, known.task, known.run)
+                self._spawn(self._stop(stop))
+            await asyncio.sleep(lease.STOP_S / 2)
+
     async def _stop(self, order: scheduling.Stop) -> None:
         runner = self._ledger.runner
         answer = await self._client.stop(order, runner.id if runner else "")
@@ -266,9 +300,13 @@
         return self._settings.bounds.max_hold_ms / 1000
 
     def _find_deadline(self) -> int | None:
+        """Returns until when everything on the runner may run."""
         now = self._now()
         hold_s = min(self._hold_s, self._tenure.find_left(now))
-        return self._clock.find_time(now, hold_s)
+        limit = self._ledger.find_limit()
+        if limit is not None:
+            hold_s = min(hold_s, limit - now)
+        return self._clock.find_time(now, max(hold_s, 0.0))
 
     async def _look(self, wait_ms: int) -> ledger_lib.News | None:
         """Asks the runner for its runs and tells the owner what changed."""
@@ -295,6 +333,7 @@
         self._clock.note(held.clock_ms, self._now())
         self._is_lost = False
         news = self._ledger.take_look(runner_body.create_look(held, asked_at))
+        self._stops.set()
         self._tell(epoch, news)
         return news
 
@@ -343,10 +382,13 @@
         await self._wait(PROBE_S)
 
     async def _wait(self, timeout_s: float) -> None:
-        try:
-            await asyncio.wait_for(self._wake.wait(), timeout_s)
-        except TimeoutError:
-            return
+        await self._wait_for(self._wake, timeout_s)
+
+    async def _wait_for(
+        self, event: asyncio.Event, timeout_s: float | None
+    ) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(event.wait(), timeout_s)
 
     async def _keep_lease(self) -> None:
         while True:
--- /dev/null
+++ b/tests/ownership_world.py
@@ -0,0 +1,502 @@
+"""Real fronts and side processes in one virtual network, with faults.
+
+Only sockets, clocks and runners are stand-ins. The world records every run of
+a task at its runner and what each caller was told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import contextvars
+import itertools
+import random
+import typing as t
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat.configuration import content
+from skylarkcleat.front import process as front_process
+from skylarkcleat.platform import runner_body
+from skylarkcleat.platform import runner_client
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.side import process as side_process
+from skylarkcleat.wire import event as event_lib
+from skylarkcleat.wire import session as session_lib
+from tests import virtual_loop
+
+UPSTREAM = "desk"
+QUEUE = content.Queue("q", "h", "/p/", UPSTREAM, 1500, 60, 0, 4, 1.6)
+RESEND_S = 1.3
+LOST_S = 5.0
+PATIENCE_S = 3.0
+HEARTBEAT_S = 0.5
+CPU = 8000
+
+
+class Faults(t.NamedTuple):
+    """How much goes wrong.
+
+    Attributes:
+        gap_s: The mean time between two faults.
+        late: The share of a runner's calls that get no answer; half of them
+            are carried out seconds later.
+        length_s: How long faults come.
+    """
+
+    gap_s: float = 1.5
+    late: float = 0.02
+    length_s: float = 20.0
+
+
+class Run(t.NamedTuple):
+    """A run of a task, as its runner saw it."""
+
+    task: str
+    run: int
+    runner: str
+    begun: float
+    ended: float
+
+
+class Network:
+    """Carries messages between processes, in order for each pair."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self.hubs: dict[str, Hub] = {}
+        self.cuts: dict[tuple[str, str], float] = {}
+        self._random = generator
+        self._arrivals: dict[tuple[str, str], float] = {}
+
+    def cut(self, one: str, other: str, until: float) -> None:
+        """Lets nothing through from one process to another for a while."""
+        self.cuts[(one, other)] = max(self.cuts.get((one, other), 0.0), until)
+
+    def send(self, hub: Hub, name: str, incarnation: int, message: t.Any):
+        """Delivers a message, or tells its sender later that it is lost."""
+        loop = asyncio.get_running_loop()
+        pair = (hub.local.name, name)
+        sent_at = max(loop.time(), self._arrivals.get(pair, 0.0) - 0.05)
+        at = sent_at + self._random.choice((0.0003, 0.002, 0.002, 0.03))
+        healed_at = self.cuts.get(pair, 0.0)
+        if healed_at > at:
+            if healed_at - at > LOST_S:
+                lost = event_lib.Lost(session_lib.Endpoint(name, 0), "cut")
+                loop.call_at(at + LOST_S, hub.events.put_nowait, lost)
+                return
+            at = healed_at + self._random.uniform(0.0, 0.2)
+        at = max(at, self._arrivals.get(pair, 0.0) + 1e-6)
+        self._arrivals[pair] = at
+        sender = hub.local
+        loop.call_at(at, self._deliver, sender, name, incarnation, message)
+
+    def _deliver(
+        self,
+        sender: session_lib.Endpoint,
+        name: str,
+        incarnation: int,
+        message: t.Any,
+    ) -> None:
+        hub = self.hubs.get(name)
+        if hub is None or incarnation not in (0, hub.local.incarnation):
+            return
+        hub.events.put_nowait(event_lib.Received(sender, message))
+
+
+class Hub:
+    """What a process sends and receives with."""
+
+    def __init__(self, network: Network, process: virtual_loop.Process):
+        self.local = session_lib.Endpoint(process.name, process.incarnation)
+        self.events: asyncio.Queue = asyncio.Queue()
+        self._network = network
+        network.hubs[process.name] = self
+
+    def send(self, peer: session_lib.Endpoint, message: t.Any) -> None:
+        self._network.send(self, peer.name, peer.incarnation, message)
+
+    def send_any(self, name: str, address: str, message: t.Any) -> None:
+        del address
+        self._network.send(self, name, 0, message)
+
+    def disconnect_others(self, name: str) -> None:
+        del name
+
+
+class Runner:
+    """A runner, and the calls of the side process beside it."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.id = f"i-{number}"
+        self.runs: dict[str, tuple[int, float]] = {}
+        self._world = world
+        self._random = world.random
+        self._drift = self._random.choice((0.98, 1.0))
+        self._fence = 0
+        self._passed: dict[str, int] = {}
+        self._ends: list[scheduling.End] = []
+        self._number = 0
+        self._deadline = 0.0
+        self._sequence = 0
+        self._changed = asyncio.Event()
+        self._context = contextvars.copy_context()
+
+    def _later(self, delay_s: float, act: t.Callable, *arguments: t.Any):
+        """Runs something whether or not the side process still does."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, act, *arguments, context=self._context)
+
+    def describe(self) -> runner_body.Heartbeat:
+        self._sequence += 1
+        runner = scheduling.Runner(
+            self.id, 1, UPSTREAM, CPU, 65536, 0, ("a", "r1"), False
+        )
+        return runner_body.Heartbeat(runner, "", self._sequence, 0)
+
+    async def start(
+        self, order: scheduling.Start, deadline_ms: int, runner: str
+    ) -> runner_body.Answer:
+        assert runner == self.id
+        return await self._call(lambda: self._start(order, deadline_ms))
+
+    async def stop(
+        self, order: scheduling.Stop, runner: str
+    ) -> runner_body.Answer:
+        assert runner == self.id
+        return await self._call(lambda: self._stop(order))
+
+    async def hold(self, epoch, last_seen, deadline_ms, wait_ms, runner):
+        del runner
+        if self._random.random() < self._world.faults.late:
+            await asyncio.sleep(runner_client.CALL_TIMEOUT_S)
+            return None
+        await asyncio.sleep(0.0005)
+        if epoch < self._fence:
+            return runner_body.FENCED
+        self._fence = epoch
+        self._prolong(deadline_ms)
+        self._ends = [end for end in self._ends if end.number > last_seen]
+        if wait_ms and not self._ends:
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
+        self._lapse()
+        running = tuple((k, run) for k, (run, _) in self.runs.items())
+        return runner_body.Held(1, self._clock(), running, tuple(self._ends))
+
+    async def _call(self, act: t.Callable[[], runner_body.Answer]):
+        if self._random.random() < self._world.faults.late:
+            if self._random.random() < 0.5:
+                late_s = self._random.uniform(0.2, 4.0)
+                self._later(late_s, act)
+            await asyncio.sleep(runner_client.CALL_TIMEOUT_S)
+            return runner_body.Answer(runner_client.UNANSWERED, "", None)
+        await asyncio.sleep(0.0005)
+        return act()
+
+    def _clock(self) -> int:
+        return int(self._world.now * self._drift * 1000)
+
+    def _prolong(self, deadline_ms: int | None) -> None:
+        if deadline_ms is not None:
+            most = self._clock() + 1000
+            self._deadline = max(self._deadline, min(deadline_ms, most))
+
+    def _start(
+        self, order: scheduling.Start, deadline_ms: int
+    ) -> runner_body.Answer:
+        self._lapse()
+        if order.epoch < self._fence:
+            return runner_body.Answer(409, "fence", self._clock())
+        self._fence = order.epoch
+        if deadline_ms < self._clock():
+            return runner_body.Answer(409, "late", self._clock())
+        self._prolong(deadline_ms)
+        if order.run <= self._passed.get(order.task, 0):
+            return runner_body.Answer(409, "old", self._clock())
+        if order.task not in self.runs:
+            self.runs[order.task] = (order.run, self._world.now)
+            took_s = self._world.find_work(order.task)
+            done = scheduling.Ending.DONE
+            self._later(took_s, self._end, order.task, order.run, done)
+            self._watch()
+        return runner_body.Answer(200, "", self._clock())
+
+    def _stop(self, order: scheduling.Stop) -> runner_body.Answer:
+        if order.epoch < self._fence:
+            return runner_body.Answer(409, "fence", self._clock())
+        passed = self._passed.get(order.task, 0)
+        self._passed[order.task] = max(passed, order.run)
+        stopped = scheduling.Ending.STOPPED
+        self._later(0.05, self._end, order.task, order.run, stopped)
+        return runner_body.Answer(200, "", self._clock())
+
+    def _watch(self) -> None:
+        """Ends what runs once the deadline has passed."""
+        left_s = (self._deadline - self._clock()) / 1000 / self._drift
+        self._later(max(left_s, 0.0) + 0.001, self._expire)
+
+    def _expire(self) -> None:
+        self._lapse()
+        if self.runs:
+            self._watch()
+
+    def _lapse(self) -> None:
+        if self._clock() > self._deadline:
+            for task, (run, _) in list(self.runs.items()):
+                self._end(task, run, scheduling.Ending.LAPSED)
+
+    def _end(self, task: str, run: int, ending: scheduling.Ending) -> None:
+        known = self.runs.get(task)
+        if known is None or known[0] != run:
+            return
+        del self.runs[task]
+        self._passed[task] = max(self._passed.get(task, 0), run)
+        now = self._world.now
+        self._world.runs.append(Run(task, run, self.id, known[1], now))
+        self._number += 1
+        self._ends.append(scheduling.End(self._number, task, run, ending))
+        self._changed.set()
+
+
+class World:
+    """Fronts, side processes, runners and callers."""
+
+    def __init__(
+        self, seed: int, faults: Faults, fronts: int = 3, sides: int = 4
+    ) -> None:
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.runs: list[Run] = []
+        self.verdicts: dict[str, list[scheduling.Verdict]] = {}
+        self._works: dict[str, float] = {}
+        self._numbers = itertools.count(1)
+        self._fronts = [f"front-{n}" for n in range(fronts)]
+        self._sides = [f"side-{n}" for n in range(sides)]
+
+    @property
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def find_work(self, task: str) -> float:
+        """Returns how long a task takes, in seconds."""
+        job = task.partition(".")[0]
+        return self._works[job] * self.random.uniform(0.7, 1.5)
+
+    async def play(self) -> None:
+        """Plays calm, faults, and calm again."""
+        self.network = Network(self.random)
+        self.processes: dict[str, virtual_loop.Process] = {}
+        self.fronts: dict[str, front_process.FrontProcess] = {}
+        self.runners = {
+            side: Runner(self, number)
+            for number, side in enumerate(self._sides)
+        }
+        for name in [*self._fronts, *self._sides]:
+            self._start(name)
+        await asyncio.sleep(2.0)
+        callers = asyncio.create_task(self._call_often())
+        await self._break_often()
+        await callers
+        await asyncio.sleep(8.0)
+
+    def _start(self, name: str) -> None:
+        process = virtual_loop.Process(name, next(self._numbers))
+        self.processes[name] = process
+        process.context.run(self._create, name, process)
+
+    def _create(self, name: str, process: virtual_loop.Process) -> None:
+        hub = Hub(self.network, process)
+        settings = settings_lib.Settings(
+            node=name,
+            ip=name,
+            zone="z",
+            port_range=(1, 2),
+            seeds=tuple(f"{each}:1" for each in self._fronts),
+        )
+        if name in self.runners:
+            created = side_process.SideProcess(
+                settings, hub, self.runners[name]
+            )
+            process.spawn(self._report(created, self.runners[name]))
+        else:
+            created = front_process.FrontProcess(settings, hub, None, None)
+            configuration = content.Configuration(
+                1, (QUEUE,), (content.Upstream(UPSTREAM),)
+            )
+            created._configurations.take(configuration)
+            self.fronts[name] = created
+        for task in created.list_tasks():
+            process.spawn(task)
+
+    async def _report(
+        self, side: side_process.SideProcess, runner: Runner
+    ) -> None:
+        while True:
+            side.take_heartbeat(runner.describe())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _call_often(self) -> None:
+        end = self.now + self.faults.length_s
+        calls = []
+        while self.now < end:
+            calls.append(asyncio.create_task(self._call()))
+            await asyncio.sleep(self.random.expovariate(12.0))
+        await asyncio.gather(*calls)
+
+    async def _call(self) -> None:
+        job_id = f"{next(self._numbers):016x}"
+        work_s = self.random.choice((0.1, 0.4, 1.2, 2.5))
+        self._works[job_id] = work_s
+        count = self.random.choice((1, 2, 3))
+        step = scheduling.Step(count, 2000, 64, 0, round(work_s * 1000))
+        job = scheduling.Job(job_id, "spec", (step,))
+        verdicts = self.verdicts[job_id] = []
+        for _ in range(4):
+            verdict = await self._try(job)
+            verdicts.append(verdict)
+            if verdict not in (None, scheduling.Verdict.UNCERTAIN):
+                return
+            await asyncio.sleep(RESEND_S + self.random.uniform(0.0, 0.1))
+
+    async def _try(self, job: scheduling.Job) -> scheduling.Verdict | None:
+        """Hands a job in; None if the channel broke."""
+        name = self.random.choice(self._fronts)
+        process = self.processes[name]
+        if process.is_dead:
+            return None
+        front = self.fronts[name]
+        patience_ms = round(PATIENCE_S * 1000)
+        work = front.submit("h", "/p/", job, patience_ms)
+        call = process.spawn(work)
+        died = asyncio.create_task(process.died.wait())
+        # Some callers lose their channel while the front goes on.
+        patience_s = PATIENCE_S
+        if self.random.random() < 0.1:
+            patience_s = self.random.uniform(0.01, 1.0)
+        await asyncio.wait(
+            [call, died],
+            timeout=patience_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        died.cancel()
+        if call.done():
+            return call.result().verdict
+        asyncio.get_running_loop().call_soon(
+            call.cancel, context=process.context
+        )
+        return None
+
+    async def _break_often(self) -> None:
+        end = self.now + self.faults.length_s
+        kinds = (
+            self._kill,
+            self._kill,
+            self._freeze,
+            self._freeze,
+            self._cut_one,
+            self._cut_one,
+            self._split,
+            self._kill_many,
+        )
+        while self.now < end:
+            self.random.choice(kinds)()
+            gap_s = self.random.expovariate(1 / self.faults.gap_s)
+            await asyncio.sleep(gap_s)
+
+    @property
+    def _names(self) -> list[str]:
+        return [*self._fronts, *self._sides]
+
+    def _kill(self) -> None:
+        self._restart(self.random.choice(self._names))
+
+    def _kill_many(self) -> None:
+        for name in self._names:
+            if self.random.random() < 0.6:
+                self._restart(name)
+
+    def _restart(self, name: str) -> None:
+        self.processes[name].kill()
+        down_s = self.random.choice((0.3, 0.8, 2.0))
+        asyncio.get_running_loop().call_later(down_s, self._revive, name)
+
+    def _revive(self, name: str) -> None:
+        if self.processes[name].is_dead:
+            self._start(name)
+
+    def _freeze(self) -> None:
+        name = self.random.choice(self._names)
+        length_s = self.random.choice((0.3, 0.8, 2.0, 5.0))
+        self.processes[name].freeze(self.now + length_s)
+
+    def _cut_one(self) -> None:
+        name = self.random.choice(self._names)
+        until = self.now + self.random.choice((0.3, 1.0, 3.0, 7.0))
+        share = self.random.choice((0.4, 1.0))
+        both = self.random.random() < 0.7
+        for other in self._names:
+            if other != name and self.random.random() < share:
+                self.network.cut(name, other, until)
+                if both:
+                    self.network.cut(other, name, until)
+
+    def _split(self) -> None:
+        until = self.now + self.random.choice((1.0, 3.0, 7.0))
+        half = {name for name in self._names if self.random.random() < 0.5}
+        for one in self._names:
+            for other in self._names:
+                if (one in half) != (other in half):
+                    self.network.cut(one, other, until)
+
+
+def play(seed: int, faults: Faults, monkeypatch: t.Any, **shape: int) -> World:
+    """Plays a world under virtual time and returns what it recorded."""
+    world = World(seed, faults, **shape)
+    monkeypatch.setattr(clock_lib, "read_monotonic", lambda: world.now)
+    monkeypatch.setattr(
+        clock_lib, "read_wall_ms", lambda: round(world.now * 1000)
+    )
+    virtual_loop.run(world.play())
+    return world
+
+
+def list_overlaps(world: World) -> list[tuple[Run, Run]]:
+    """Returns pairs of runs of one task that ran at the same time."""
+    by_task: dict[str, list[Run]] = {}
+    for run in sorted(world.runs, key=lambda run: run.begun):
+        by_task.setdefault(run.task, []).append(run)
+    return [
+        (first, second)
+        for runs in by_task.values()
+        for first, second in itertools.combinations(runs, 2)
+        if second.begun < first.ended - 1e-9
+    ]
+
+
+def list_false_refusals(world: World) -> list[str]:
+    """Returns jobs that ran, though each answer said that they had not."""
+    ran = {run.task.partition(".")[0] for run in world.runs}
+    refused = scheduling.Verdict.NOT_RUN
+    return [
+        job
+        for job, verdicts in world.verdicts.items()
+        if job in ran and all(verdict is refused for verdict in verdicts)
+    ]
+
+
+def find_most_cpu(world: World) -> int:
+    """Returns the most that any runner ran at once, in thousandths."""
+    most = 0
+    for runner in {run.runner for run in world.runs}:
+        events = sorted(
+            event
+            for run in world.runs
+            if run.runner == runner
+            for event in ((run.begun, 2000), (run.ended, -2000))
+        )
+        used = 0
+        for _, change in sorted(events):
+            used += change
+            most = max(most, used)
+    return most
--- /dev/null
+++ b/tests/test_ownership_faults.py
@@ -0,0 +1,24 @@
+"""The whole chain from callers to runners, under faults in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from skylarkcleat.protocol import scheduling
+from tests import ownership_world as world_lib
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_task_runs_twice_at_the_same_time(seed, monkeypatch):
+    world = world_lib.play(seed, world_lib.Faults(), monkeypatch)
+    assert not world_lib.list_overlaps(world)
+    assert not world_lib.list_false_refusals(world)
+    assert world_lib.find_most_cpu(world) <= world_lib.CPU
+
+
+def test_all_is_served_where_nothing_goes_wrong(monkeypatch):
+    faults = world_lib.Faults(gap_s=1e9, late=0.0)
+    world = world_lib.play(1, faults, monkeypatch)
+    last = [verdicts[-1] for verdicts in world.verdicts.values()]
+    served = last.count(scheduling.Verdict.COMPLETED)
+    assert served >= 0.97 * len(last)
--- a/tests/test_scheduling_tenure.py
+++ b/tests/test_scheduling_tenure.py
@@ -10,14 +10,14 @@
 
 
 def _create_tenure(asked_at):
-    tenure = tenure_lib.Tenure(100)
+    tenure = tenure_lib.Tenure(100, 0.0)
     epoch = tenure.ask(OWNER)
     assert tenure.grant(OWNER.name, epoch, asked_at)
     return tenure
 
 
 def test_a_lease_counts_from_when_it_was_asked_for():
-    assert not tenure_lib.Tenure(100).is_valid(0.0)
+    assert not tenure_lib.Tenure(100, 0.0).is_valid(0.0)
     tenure = _create_tenure(10.0)
     assert tenure.epoch > 100
     assert tenure.is_valid(10.0 + lease.LEASE_S - 0.01)
@@ -35,7 +35,7 @@
 
 
 def test_only_the_owner_that_was_asked_last_can_give_a_lease():
-    tenure = tenure_lib.Tenure(100)
+    tenure = tenure_lib.Tenure(100, 0.0)
     first = tenure.ask(OWNER)
     assert tenure.ask(OWNER) == first
     second = tenure.ask(OTHER)
@@ -55,6 +55,14 @@
     assert tenure.ask(OWNER) > former + 1000
 
 
+def test_what_ran_under_a_lease_ends_with_it_though_another_has_begun():
+    tenure = _create_tenure(10.0)
+    tenure.renew(tenure.epoch, 10.4, 10.4)
+    assert tenure.grant(OTHER.name, tenure.ask(OTHER), 10.9)
+    assert tenure.former_until == 10.4 + lease.LEASE_S
+    assert tenure.is_valid(10.9 + lease.LEASE_S - 0.01)
+
+
 def test_no_task_runs_any_more_when_a_callers_front_is_lost_and_it_resends():
     resend_s = 1.3
     assert resend_s - 0.05 > lease.LAPSE_S
