Compile in the build, import by role, close runners that fall silent

Cause: (1) the build copied the sources without byte code, and processes can't write any, so each start compiled all of it; each role imported the other, and aiohttp read all certificate authorities. (2) A runner that went dark got tasks until its lease ended; RunnerLost was never sent, since each failed look counted as a hold. (3) After a restart of all, jobs were refused for want of a configuration that came 0.1 s later.

Change: byte code in the build; one module a role; a runner that misses two looks gets no tasks and is held no longer, and once its hold has lapsed its tasks start elsewhere; requests wait for the configuration as for an owner; runs of a former process are not held before they are taken over.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,4 +1,7 @@
 # Installs the pinned libraries, when they have changed, and this project.
+#
+# Processes can't write next to the sources, so the project is compiled here:
+# otherwise each start would compile all of it.
 set -eu
 deps=target/deps
 if ! [ "$deps/.installed" -nt deploy/requirements.txt ]; then
@@ -7,3 +10,5 @@
 fi
 rm -rf "$deps/skylarkcleat"
 cp -R src/skylarkcleat "$deps/skylarkcleat"
+find "$deps/skylarkcleat" -name __pycache__ -prune -exec rm -rf {} +
+python3 -m compileall -q --invalidation-mode unchecked-hash "$deps/skylarkcleat"
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -184,8 +184,10 @@
             owner.end_runs(peer.name, message, now)
         elif isinstance(message, scheduling.NotStarted):
             owner.take_back(peer.name, message, now)
+        elif isinstance(message, scheduling.RunnerSilent):
+            owner.note_silence(peer.name, message)
         elif isinstance(message, scheduling.RunnerLost):
-            owner.lose_runner(peer.name, message, now)
+            owner.lose_runner(peer.name, message)
 
     def _reply(
         self,
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -53,7 +53,7 @@
 FIRST_CLAIM_S = 1.0
 """At the very first start all fronts are up within 0.3 s, in any order."""
 
-CLAIM_S = 0.3
+CLAIM_S = 0.2
 """A front that starts hears the others first."""
 
 FOLLOW_S = 0.02
@@ -312,7 +312,9 @@
         known_log = self._knowledge.log
         while True:
             is_heard = self._election.is_heard(clock_lib.read_monotonic())
-            owner = self._election.followed if is_heard else locating.OwnerRef()
+            owner = locating.OwnerRef()
+            if is_heard and self._configurations.version:
+                owner = self._election.followed
             if owner != known:
                 known = owner
                 eliot.log_message(
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -41,6 +41,9 @@
         election = self._election
         if not election.is_heard(clock_lib.read_monotonic()):
             return 0
+        if not self._configurations.version:
+            # After a restart of all it comes with the leader of the log.
+            return 0
         owner = election.followed.name
         has_newest = owner != self._me.name and (
             self._succession.find_version(owner) >= self._configurations.needed
--- a/src/skylarkcleat/platform/__main__.py
+++ b/src/skylarkcleat/platform/__main__.py
@@ -1,23 +1,33 @@
-"""Runs a front or a side process: `python -m skylarkcleat.platform ROLE`."""
+"""Runs a front or a side process: `python -m skylarkcleat.platform ROLE`.
+
+Each role imports only what it runs: start-up time is downtime, and memory is
+priced.
+"""
 
 from __future__ import annotations
 
+import importlib
+import os
 import sys
 
 from skylarkcleat import problem as problem_lib
-from skylarkcleat.platform import daemons
 
 USAGE_STATUS = 2
-_ROLES = {"front": daemons.run_front, "side": daemons.run_side}
+_MODULES = {
+    "front": "skylarkcleat.platform.front_daemon",
+    "side": "skylarkcleat.platform.side_daemon",
+}
 
 
 def main(arguments: list[str]) -> int:
     """Runs a role until it is stopped; returns the exit status."""
-    if len(arguments) != 1 or arguments[0] not in _ROLES:
+    if len(arguments) != 1 or arguments[0] not in _MODULES:
         sys.stderr.write("usage: python -m skylarkcleat.platform front|side\n")
         return USAGE_STATUS
+    daemon = importlib.import_module("skylarkcleat.platform.daemon")
+    role = importlib.import_module(_MODULES[arguments[0]])
     try:
-        _ROLES[arguments[0]]()
+        daemon.run(role.serve)
     except problem_lib.SettingsError as error:
         sys.stderr.write(f"{error}\n")
         return USAGE_STATUS
@@ -25,4 +35,6 @@
 
 
 if __name__ == "__main__":
+    # Nothing here speaks TLS, and aiohttp reads all authorities when imported.
+    os.environ["SSL_CERT_FILE"] = os.devnull
     sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/skylarkcleat/platform/daemon.py
@@ -0,0 +1,112 @@
+"""What the daemons of both roles share: signals, sockets and tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import typing as t
+
+import eliot
+import uvloop
+from aiohttp import web
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat import logs
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import locating
+from skylarkcleat.protocol import owning
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.wire import hub as hub_lib
+from skylarkcleat.wire import session as session_lib
+from skylarkcleat.wire import stamper as stamper_lib
+
+MESSAGES: tuple[type, ...] = (
+    *t.get_args(locating.LocatingMessage),
+    *t.get_args(owning.OwningMessage),
+    *t.get_args(scheduling.FrontMessage),
+    *t.get_args(scheduling.SideMessage),
+)
+_SHUTDOWN_S = 0.1
+
+Serve = t.Callable[
+    [settings_lib.Settings, asyncio.Event], t.Coroutine[t.Any, t.Any, None]
+]
+"""Serves one role until the event is set."""
+
+
+def run(serve: Serve) -> None:
+    """Runs a role until SIGTERM.
+
+    Raises:
+        SettingsError: The settings can't be used.
+    """
+    settings = settings_lib.load_settings()
+
+    async def run_role() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGINT, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        eliot.log_message("process:started", zone=settings.zone)
+        await serve(settings, stopping)
+        eliot.log_message("process:stopped")
+
+    log = logs.create_log("info", logs.STDOUT, settings.node)
+    with log, asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run_role())
+
+
+@contextlib.asynccontextmanager
+async def run_tasks(
+    works: list[t.Coroutine[t.Any, t.Any, None]], stopping: asyncio.Event
+) -> t.AsyncIterator[None]:
+    """Enters once a stop is asked for; the tasks run on until the exit.
+
+    Raises:
+        BaseException: What made one of the tasks fail.
+    """
+    tasks = [asyncio.create_task(work) for work in works]
+    stop = asyncio.create_task(stopping.wait())
+    done, _ = await asyncio.wait(
+        [stop, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    try:
+        for task in done:
+            task.result()
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def listen(
+    stack: contextlib.AsyncExitStack, address: str, runner: web.BaseRunner
+) -> None:
+    """Serves HTTP on an `ip:port` until the stack closes."""
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, port = settings_lib.split_address(address)
+    await web.TCPSite(runner, host, port).start()
+
+
+def create_hub(settings: settings_lib.Settings) -> hub_lib.Hub:
+    """Returns the sessions with all other processes."""
+    local = session_lib.Endpoint(settings.ip, clock_lib.read_wall_ms())
+    bind = f"tcp://{settings.ip}:{settings.port_range[0]}"
+    return hub_lib.create_hub(local, bind, MESSAGES, stamper_lib.NullStamper())
+
+
+def create_server_runner(handler: t.Any) -> web.BaseRunner:
+    """Returns what serves a handler; a caller that leaves cancels it."""
+    server = web.Server(handler, access_log=None, handler_cancellation=True)
+    return web.ServerRunner(
+        server, access_log=None, shutdown_timeout=_SHUTDOWN_S
+    )
+
+
+def create_app_runner(app: web.Application) -> web.BaseRunner:
+    """Returns what serves an application."""
+    return web.AppRunner(app, access_log=None, shutdown_timeout=_SHUTDOWN_S)
--- /dev/null
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -0,0 +1,60 @@
+"""Opens the sockets of a front and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import random
+
+from skylarkcleat.configuration import store as store_lib
+from skylarkcleat.consensus import driver as driver_lib
+from skylarkcleat.consensus import limits
+from skylarkcleat.consensus import settings as log_settings
+from skylarkcleat.front import process as front_process
+from skylarkcleat.platform import daemon
+from skylarkcleat.platform import ingress as ingress_lib
+from skylarkcleat.platform import settings as settings_lib
+
+LOG_LIMITS = limits.Limits(heartbeat_s=0.06, election_s=0.3)
+"""Operators wait while no front leads the log; a round trip takes 2 ms."""
+
+
+async def serve(
+    settings: settings_lib.Settings, stopping: asyncio.Event
+) -> None:
+    """Serves callers and operators until it is asked to stop."""
+    async with contextlib.AsyncExitStack() as stack:
+        hub = await stack.enter_async_context(daemon.create_hub(settings))
+        store = store_lib.Store()
+        log = None
+        if settings.data_dir:
+            log = await stack.enter_async_context(_create_log(settings, store))
+        process = front_process.FrontProcess(settings, hub, store, log)
+        ingress = ingress_lib.Ingress(process)
+        listen = settings.listen
+        for address, handler in (
+            (listen.front, ingress.handle_job),
+            (listen.control, ingress.handle_control),
+            (listen.ready, ingress.handle_ready),
+        ):
+            runner = daemon.create_server_runner(handler)
+            await daemon.listen(stack, address, runner)
+        async with daemon.run_tasks(process.list_tasks(), stopping):
+            await process.drain()
+
+
+def _create_log(
+    settings: settings_lib.Settings, store: store_lib.Store
+) -> driver_lib.LogDriver:
+    return driver_lib.create_replicated_log(
+        log_settings.Settings(
+            name=settings.ip,
+            folder=pathlib.Path(settings.data_dir),
+            bind=f"tcp://{settings.ip}:{settings.port_range[0] + 1}",
+            is_open=True,
+            limits=LOG_LIMITS,
+        ),
+        store,
+        random.Random(),
+    )
--- a/src/skylarkcleat/platform/runner_client.py
+++ b/src/skylarkcleat/platform/runner_client.py
@@ -12,7 +12,7 @@
 from skylarkcleat.platform import runner_body
 from skylarkcleat.protocol import scheduling
 
-CALL_TIMEOUT_S = 0.25
+CALL_TIMEOUT_S = 0.2
 """For a call within one VM, which takes under a millisecond."""
 
 MAX_CONNECTIONS = 4
--- /dev/null
+++ b/src/skylarkcleat/platform/side_daemon.py
@@ -0,0 +1,29 @@
+"""Opens the sockets of a side process and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from skylarkcleat.platform import daemon
+from skylarkcleat.platform import runner_client
+from skylarkcleat.platform import runner_reports
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.side import process as side_process
+
+
+async def serve(
+    settings: settings_lib.Settings, stopping: asyncio.Event
+) -> None:
+    """Serves a runner until it is asked to stop."""
+    async with contextlib.AsyncExitStack() as stack:
+        hub = await stack.enter_async_context(daemon.create_hub(settings))
+        client = await stack.enter_async_context(
+            runner_client.RunnerClient(settings.app)
+        )
+        process = side_process.SideProcess(settings, hub, client)
+        app = runner_reports.create_reports_app(process)
+        runner = daemon.create_app_runner(app)
+        await daemon.listen(stack, settings.listen.control, runner)
+        async with daemon.run_tasks(process.list_tasks(), stopping):
+            await process.close()
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -386,6 +386,18 @@
     number: int
 
 
+class RunnerSilent(t.NamedTuple):
+    """The runner has stopped answering, or answers again.
+
+    Attributes:
+        epoch: The lease.
+        is_silent: Whether it does not answer; what runs there may go on.
+    """
+
+    epoch: int
+    is_silent: bool
+
+
 class RunnerLost(t.NamedTuple):
     """The runner does not answer, and whatever ran on it has lapsed."""
 
@@ -407,5 +419,6 @@
     | NotStarted
     | Ended
     | Noted
+    | RunnerSilent
     | RunnerLost
 )
--- a/src/skylarkcleat/scheduling/lease.py
+++ b/src/skylarkcleat/scheduling/lease.py
@@ -17,6 +17,10 @@
 STOP_S = 0.08
 """A run that must have ended by some time is stopped so long before it."""
 
+ADOPT_S = 0.25
+"""A new owner has so long to take over runs whose former lease has ended; they
+are not held meanwhile."""
+
 STOP_LIMIT_S = 0.5
 """If a run can't be stopped for so long, all on its runner lapses."""
 
--- a/src/skylarkcleat/scheduling/ledger.py
+++ b/src/skylarkcleat/scheduling/ledger.py
@@ -101,20 +101,25 @@
         self._born_ms = 0
         self._told = 0
         self._former_until = float("-inf")
+        self._unkept_until = float("-inf")
 
     @property
     def has_unnoted_ends(self) -> bool:
         """Whether the owner was told of ends that it has not noted yet."""
         return self._told > self.noted
 
-    def begin_lease(self, former_until: float) -> None:
+    def begin_lease(self, former_until: float, now: float) -> None:
         """Takes in that another lease begins: its owner knows no run yet.
 
         Args:
-            former_until: When the former lease would have ended; runs that
-                the new owner has not taken over by then must have ended.
+            former_until: When the former lease ends. Runs that the new owner
+                has not taken over are not held for longer.
+            now: The time, in seconds.
         """
         self._former_until = former_until
+        self._unkept_until = now + lease.ADOPT_S
+        if former_until > now:
+            self._unkept_until = former_until - lease.STOP_S
         for known in self.runs.values():
             self._end_with_lease(known)
 
@@ -270,7 +275,7 @@
 
     def _end_with_lease(self, known: LocalRun) -> None:
         known.ends_by = self._former_until
-        known.stop_at = self._former_until - lease.STOP_S
+        known.stop_at = self._unkept_until
 
     def _settle(self, task: str, run: int, now: float) -> None:
         known = self.runs.get(task)
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -26,6 +26,9 @@
 SKIPPED_RUNS = 8
 """Added to a run's number that a runner has passed already."""
 
+NO_FAULT_REASONS = frozenset(("draining", "room", "silent", "held"))
+"""Why a run may not have started through no fault of its runner."""
+
 REFUSE_S = 0.05
 """How often jobs are looked through for those that can't be served."""
 
@@ -249,16 +252,24 @@
             task = self._jobs.find_task(message.task)
             if task is not None and task.state is active.TaskState.WAITING:
                 task.run += SKIPPED_RUNS
-        elif message.reason not in ("draining", "room"):
+        elif message.reason not in NO_FAULT_REASONS:
             worker.speed.note_failure(now)
 
-    def lose_runner(
-        self, side: str, message: scheduling.RunnerLost, now: float
-    ) -> None:
-        """Takes in that all on a runner is over and it does not answer."""
+    def note_silence(self, side: str, message: scheduling.RunnerSilent) -> None:
+        """Takes in whether a runner answers; a silent one gets no tasks."""
         worker = self._workers.find(side, message.epoch)
         if worker is not None:
-            self._remove_worker(worker, "its runner does not answer", now)
+            worker.is_silent = message.is_silent
+            self._jobs.is_changed = True
+
+    def lose_runner(self, side: str, message: scheduling.RunnerLost) -> None:
+        """Takes in that all on a silent runner is over."""
+        worker = self._workers.find(side, message.epoch)
+        if worker is None:
+            return
+        for placed in list(worker.runs.values()):
+            worker.remove(placed.task, placed.run)
+            self._jobs.return_task(placed, side)
 
     def tick(self, now: float) -> None:
         """Lets time pass; called several times a second."""
@@ -459,7 +470,7 @@
             if task.state is active.TaskState.PLACED
         }
         for worker in self.workers.values():
-            for name in names & worker.runs.keys():
+            for name in sorted(names & worker.runs.keys()):
                 run = worker.runs[name].run
                 stop = scheduling.Stop(worker.epoch, name, run)
                 self._send(worker.peer, stop)
--- a/src/skylarkcleat/scheduling/tenure.py
+++ b/src/skylarkcleat/scheduling/tenure.py
@@ -13,7 +13,8 @@
 
     Args:
         epoch: Every fencing token that the runner has seen is smaller.
-        now: The time, in seconds; a former process may have had a lease.
+        now: The time, in seconds. A former process may have had a lease; how
+            long is not known, so it counts as ended.
 
     Attributes:
         owner: The owner that gave the lease.
@@ -28,7 +29,7 @@
         self.epoch = 0
         self.heard_at = float("-inf")
         self.asked = (NO_OWNER, 0)
-        self.former_until = now + lease.LEASE_S
+        self.former_until = now
         self._last_epoch = epoch
         self._until = 0.0
 
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -48,6 +48,7 @@
         phase: Whether its report has come.
         granted_at: When the lease was last prolonged, in seconds.
         open_at: From when on it may be sent tasks, in seconds.
+        is_silent: Whether its runner does not answer.
         runs: What runs there, by task.
         speed: How fast the runner is.
     """
@@ -68,6 +69,7 @@
         self.phase = Phase.REPORTING
         self.granted_at = now
         self.open_at = open_at
+        self.is_silent = False
         self.runs: dict[str, Placed] = {}
         self.speed = speed
         self._cpu = 0
@@ -90,7 +92,7 @@
         """Returns whether tasks may be sent."""
         if self.phase is not Phase.READY or self.runner is None:
             return False
-        if self.runner.draining or now < self.open_at:
+        if self.runner.draining or self.is_silent or now < self.open_at:
             return False
         return now < self.granted_at + lease.FRONT_LEASE_S
 
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -25,15 +25,18 @@
 from skylarkcleat.wire import event as event_lib
 from skylarkcleat.wire import hub as hub_lib
 
-WAIT_MS = 300
+WAIT_MS = 200
 """How long a look at the runner waits for an end, in milliseconds."""
 
 PAUSE_S = 0.02
 UNNOTED_PAUSE_S = 0.1
 """How long to wait for the owner's note of ends before looking again."""
 
-PROBE_S = 0.5
-"""How often a runner that does not answer is tried."""
+MIN_HOLD_S = 0.1
+"""Nothing starts that could be held for less than this."""
+
+SILENT_MISSES = 2
+"""After so many looks without an answer a runner counts as silent."""
 
 SEEK_S = 0.25
 """Without the owner's answer for so long, other fronts are asked for it."""
@@ -74,7 +77,8 @@
         self._gossiped_at = 0.0
         self._held_at = 0.0
         self._sequence = 0
-        self._is_lost = False
+        self._misses = 0
+        self._is_silent = False
         self._wake = asyncio.Event()
         self._stops = asyncio.Event()
         self._calls: set[asyncio.Task] = set()
@@ -95,7 +99,6 @@
         if known is not None and self._is_stale(heartbeat, known):
             return
         self._sequence = heartbeat.sequence
-        self._is_lost = False
         if known is not None and (
             (known.id, known.born_ms) == (runner.id, runner.born_ms)
             and known.draining
@@ -191,7 +194,7 @@
             return
         # A former process may have let its runs go on until just now.
         self._held_at = self._now()
-        self._ledger.begin_lease(self._tenure.former_until)
+        self._ledger.begin_lease(self._tenure.former_until, self._now())
         self._stops.set()
         eliot.log_message(
             "side:lease",
@@ -216,12 +219,21 @@
     def _take_start(self, order: scheduling.Start) -> None:
         if not self._tenure.is_valid(self._now()):
             return
-        reason = self._ledger.admit(order)
+        reason = self._find_refusal() or self._ledger.admit(order)
         if reason:
             self._refuse(order, reason)
         else:
             self._spawn(self._start(order))
 
+    def _find_refusal(self) -> str:
+        """Returns why no task can start now; empty if one can."""
+        if self._is_silent:
+            return "silent"
+        limit = self._ledger.find_limit()
+        if limit is not None and limit - self._now() < MIN_HOLD_S:
+            return "held"
+        return ""
+
     def _refuse(self, order: scheduling.Start, reason: str) -> None:
         eliot.log_message(
             "side:refused", task=order.task, run=order.run, reason=reason
@@ -312,7 +324,7 @@
         """Asks the runner for its runs and tells the owner what changed."""
         epoch = self._tenure.epoch
         asked_at = self._now()
-        deadline = self._find_deadline()
+        deadline = None if self._is_silent else self._find_deadline()
         if deadline is not None:
             self._held_at = asked_at
         runner = self._ledger.runner
@@ -329,9 +341,10 @@
             self._pass_fence()
             return None
         if held is None:
+            self._note_miss()
             return None
         self._clock.note(held.clock_ms, self._now())
-        self._is_lost = False
+        self._note_heard()
         news = self._ledger.take_look(runner_body.create_look(held, asked_at))
         self._stops.set()
         self._tell(epoch, news)
@@ -360,26 +373,48 @@
             if not self._tenure.is_valid(self._now()):
                 await asyncio.sleep(PAUSE_S)
                 continue
-            news = await self._look(WAIT_MS)
+            news = await self._look(0 if self._misses else WAIT_MS)
             if news is None:
-                await self._note_silence()
+                await asyncio.sleep(PAUSE_S)
+                self._note_lapse()
             elif self._ledger.has_unnoted_ends:
                 await self._wait(UNNOTED_PAUSE_S)
 
-    async def _note_silence(self) -> None:
-        lapsed_at = self._held_at + self._hold_s * (1 + lease.CLOCK_DRIFT)
-        lapsed_at += lease.EXPIRY_SLACK_S
-        if self._now() < lapsed_at:
-            await asyncio.sleep(PAUSE_S)
+    def _note_miss(self) -> None:
+        """Takes in that a look got no answer.
+
+        A runner that is silent is held no longer, so that what runs there has
+        ended for certain some time later.
+        """
+        self._misses += 1
+        if self._misses >= SILENT_MISSES and not self._is_silent:
+            self._is_silent = True
+            self._tell_silence()
+
+    def _note_heard(self) -> None:
+        self._misses = 0
+        if self._is_silent:
+            self._is_silent = False
+            self._tell_silence()
+
+    def _tell_silence(self) -> None:
+        eliot.log_message(
+            "side:runner-silent",
+            epoch=self._tenure.epoch,
+            is_silent=self._is_silent,
+        )
+        silence = scheduling.RunnerSilent(self._tenure.epoch, self._is_silent)
+        self._send_owner(silence)
+
+    def _note_lapse(self) -> None:
+        """Gives up what ran on a silent runner, once it has lapsed."""
+        if not self._is_silent or not self._ledger.runs:
             return
-        if not self._is_lost and self._tenure.epoch:
-            eliot.log_message("side:runner-lost", epoch=self._tenure.epoch)
-            self._send_owner(scheduling.RunnerLost(self._tenure.epoch))
-            self._is_lost = True
-            self._tenure.drop()
-            self._clock.reset()
-            self._ledger.runs.clear()
-        await self._wait(PROBE_S)
+        if self._now() < lease.find_expiry(self._held_at):
+            return
+        eliot.log_message("side:runner-lost", epoch=self._tenure.epoch)
+        self._ledger.runs.clear()
+        self._send_owner(scheduling.RunnerLost(self._tenure.epoch))
 
     async def _wait(self, timeout_s: float) -> None:
         await self._wait_for(self._wake, timeout_s)
@@ -396,7 +431,7 @@
             self._ask_fronts(now)
             if self._tenure.is_valid(now):
                 self._renew()
-            elif not self._is_lost:
+            else:
                 self._follow()
             await asyncio.sleep(lease.RENEW_S)
 
@@ -417,7 +452,7 @@
             self._send(name, locating.Hello(None))
 
     def _register(self, owner: locating.OwnerRef) -> None:
-        if not owner.name or self._is_lost:
+        if not owner.name:
             return
         register = scheduling.Register(
             self._settings.ip,
--- a/src/skylarkcleat/wire/stamper.py
+++ b/src/skylarkcleat/wire/stamper.py
@@ -5,7 +5,9 @@
 import typing as t
 
 from skylarkcleat import clock as clock_lib
-from skylarkcleat.timeline import account as account_lib
+
+if t.TYPE_CHECKING:
+    from skylarkcleat.timeline import account as account_lib
 
 
 class Stamper(t.Protocol):
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -132,6 +132,7 @@
         self._world = world
         self._random = world.random
         self._drift = self._random.choice((0.98, 1.0))
+        self.dark_until = 0.0
         self._fence = 0
         self._passed: dict[str, int] = {}
         self._ends: list[scheduling.End] = []
@@ -167,7 +168,7 @@
 
     async def hold(self, epoch, last_seen, deadline_ms, wait_ms, runner):
         del runner
-        if self._random.random() < self._world.faults.late:
+        if self._is_lost():
             await asyncio.sleep(runner_client.CALL_TIMEOUT_S)
             return None
         await asyncio.sleep(0.0005)
@@ -185,7 +186,7 @@
         return runner_body.Held(1, self._clock(), running, tuple(self._ends))
 
     async def _call(self, act: t.Callable[[], runner_body.Answer]):
-        if self._random.random() < self._world.faults.late:
+        if self._is_lost():
             if self._random.random() < 0.5:
                 late_s = self._random.uniform(0.2, 4.0)
                 self._later(late_s, act)
@@ -194,6 +195,12 @@
         await asyncio.sleep(0.0005)
         return act()
 
+    def _is_lost(self) -> bool:
+        """Returns whether the present call gets no answer."""
+        if self._world.now < self.dark_until:
+            return True
+        return self._random.random() < self._world.faults.late
+
     def _clock(self) -> int:
         return int(self._world.now * self._drift * 1000)
 
@@ -398,6 +405,7 @@
             self._cut_one,
             self._split,
             self._kill_many,
+            self._darken,
         )
         while self.now < end:
             self.random.choice(kinds)()
@@ -441,6 +449,12 @@
                 if both:
                     self.network.cut(other, name, until)
 
+    def _darken(self) -> None:
+        """Lets a runner that runs on answer nothing for a while."""
+        runner = self.runners[self.random.choice(self._sides)]
+        length_s = self.random.choice((0.3, 1.0, 3.0))
+        runner.dark_until = max(runner.dark_until, self.now + length_s)
+
     def _split(self) -> None:
         until = self.now + self.random.choice((1.0, 3.0, 7.0))
         half = {name for name in self._names if self.random.random() < 0.5}
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -80,13 +80,14 @@
 
 
 class Outcome(t.NamedTuple):
-    """What one job came to."""
+    """What one job came to, and when it was handed in."""
 
     kind: Kind
     verdict: scheduling.Verdict
     took_s: float
     objective_s: float
     width: int
+    at: float
 
 
 class World:
@@ -232,7 +233,12 @@
                 )
                 self.outcomes.append(
                     Outcome(
-                        kind, message.verdict, now - begun, objective_s, width
+                        kind,
+                        message.verdict,
+                        now - begun,
+                        objective_s,
+                        width,
+                        begun,
                     )
                 )
             elif isinstance(message, scheduling.Start):
--- a/tests/test_scheduling_ledger.py
+++ b/tests/test_scheduling_ledger.py
@@ -3,6 +3,7 @@
 import pytest
 
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import ledger as ledger_lib
 
 RUNNER = scheduling.Runner("i-1", 7, "desk", 2000, 1024, 0, ("a",), False)
@@ -104,3 +105,40 @@
     assert [e.number for e in ledger.take_look(look).ends] == [2]
     ledger.note_noted(2)
     assert not ledger.has_unnoted_ends
+
+
+def test_what_the_new_owner_has_not_taken_over_ends_with_the_former_lease(
+    ledger,
+):
+    ledger.admit(_order("a"))
+    ledger.admit(_order("b"))
+    ledger.begin_lease(10.0, 9.5)
+    ledger.keep("a", 1)
+    assert ledger.find_limit() == 10.0
+    assert not ledger.list_overdue(10.0 - 2 * lease.STOP_S)
+    (overdue,) = ledger.list_overdue(10.0)
+    assert overdue.task == "b"
+    ledger.note_stopped("b", 1, 10.0)
+    assert ledger.find_limit() is None
+
+
+def test_a_run_that_can_not_be_stopped_bounds_the_hold_of_all(ledger):
+    ledger.admit(_order())
+    assert ledger.order_stop("t", 1, 5.0)
+    assert [known.task for known in ledger.list_overdue(5.0)] == ["t"]
+    assert ledger.find_limit() == 5.0 + lease.STOP_LIMIT_S
+    ledger.order_stop("t", 1, 5.3)
+    assert ledger.find_limit() == 5.0 + lease.STOP_LIMIT_S
+    assert not ledger.order_stop("other", 1, 5.0)
+
+
+def test_runs_of_a_former_process_are_not_held_before_they_are_taken_over(
+    ledger,
+):
+    ledger.begin_lease(5.0, 6.0)
+    ledger.take_look(_look(6.1, running=[("t", 1)]))
+    assert ledger.find_limit() == 5.0
+    assert not ledger.list_overdue(6.0 + lease.ADOPT_S - 0.01)
+    assert ledger.list_overdue(6.0 + lease.ADOPT_S)
+    ledger.keep("t", 1)
+    assert ledger.find_limit() is None
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -361,3 +361,81 @@
     owner.report("side-1", scheduling.Report(epoch, running, ()), now)
     owner.report("side-1", scheduling.Report(epoch, (), ()), now)
     assert not _take(owner, scheduling.Start, now)
+
+
+def test_a_silent_runner_gets_nothing_until_it_answers(owner):
+    epoch = _register(owner)
+    owner.note_silence("side-1", scheduling.RunnerSilent(epoch, True))
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    assert not _take(owner, scheduling.Start, 0.0)
+    owner.note_silence("side-1", scheduling.RunnerSilent(epoch, False))
+    assert len(_take(owner, scheduling.Start, 0.1)) == 1
+
+
+def test_what_lapsed_on_a_silent_runner_starts_elsewhere(owner):
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.note_silence("side-1", scheduling.RunnerSilent(epoch, True))
+    _register(owner, "side-2", _runner("i-2"), now=0.1)
+    assert not _take(owner, scheduling.Start, 0.1)
+    owner.lose_runner("side-1", scheduling.RunnerLost(epoch))
+    (again,) = _take(owner, scheduling.Start, 0.2)
+    assert again.task == start.task
+    assert again.run > start.run
+
+
+def test_a_front_that_was_silent_has_to_hand_its_jobs_in_again():
+    owner = owner_lib.Owner(ME, owner_lib.Predecessor(), 0.0)
+    _register(owner)
+    assert owner.note_answer(FRONT, 0.0, 0.0)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    later = lease.FRONT_LEASE_S + 0.1
+    assert not _take(owner, scheduling.Start, later)
+    assert owner.note_answer(FRONT, later, later)
+    assert not _take(owner, scheduling.Start, later)
+    owner.submit(FRONT, _submit(), QUEUE, later)
+    owner.renew(
+        session_lib.Endpoint("side-1", 1),
+        scheduling.Renew(owner.workers["side-1"].epoch, later, None),
+        later,
+    )
+    assert len(_take(owner, scheduling.Start, later)) == 1
+
+
+def test_jobs_without_a_caller_end_at_once_while_a_front_is_missing(owner):
+    _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take(owner, scheduling.Start, 0.0)
+    owner.abandon(FRONT, 1)
+    gone = session_lib.Endpoint("gone", 1)
+    owner.note_answer(gone, 0.0, 0.0)
+    owner.tick(lease.FRONT_LEASE_S - 0.01)
+    assert not _take(owner, scheduling.Stop)
+    owner.tick(lease.FRONT_LEASE_S)
+    (stop,) = _take(owner, scheduling.Stop)
+    assert (stop.task, stop.run) == (start.task, start.run)
+
+
+def test_a_new_owner_says_which_runs_it_takes_over():
+    owner = _succeed(["side-1"], 10.0)
+    running = [
+        scheduling.Run(TASK, 3, 1000, 64, 0),
+        scheduling.Run(f"{'b' * 16}.0.0.0", 1, 1000, 64, 0),
+    ]
+    owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
+    epoch = _register(owner, now=10.1, running=running)
+    assert _take(owner, scheduling.Keep) == [scheduling.Keep(epoch, TASK, 3)]
+    assert not _take(owner, scheduling.Stop)
+
+
+def test_a_job_waits_until_nothing_of_it_runs_under_an_unknown_owner(owner):
+    _register(owner)
+    submit = _submit(was_sent=True)._replace(lapse_ms=500)
+    owner.submit(FRONT, submit, QUEUE, 0.0)
+    assert not _take(owner, scheduling.Start, 0.0)
+    renewed = owner.workers["side-1"]
+    renewed.granted_at = 0.5
+    assert len(_take(owner, scheduling.Start, 0.51)) == 0
+    owner.tick(0.52)
+    assert len(_take(owner, scheduling.Start, 0.52)) == 1
