Give each owner its own term, tell every owner of an ended request

Ruled out: the runner stand-in's late starts; lapses on the runner. Change: Abandon whenever the target has not ended the request itself; terms carry a mark of the front and its incarnation; older_lapse_ms; a waiting task does not start while another run of it has to stop.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -10,9 +10,12 @@
 
 from __future__ import annotations
 
+import zlib
+
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
+from skylarkcleat.wire import session as session_lib
 
 SEEK_S = 0.2
 """Without a beat for so long, a front asks all others what they hear."""
@@ -32,6 +35,10 @@
 KEPT_TERMS = 8
 """For so many terms it is remembered who handed over to whom."""
 
+TERM_STEP = 1_000_000
+"""Terms rise in such steps. What is added names the front that claimed one, so
+that two fronts out of each other's sight don't claim the same."""
+
 UNSUITED = 10_000
 """The rank of a front that is about to stop."""
 
@@ -55,7 +62,7 @@
     """One front's part in the choice of an owner.
 
     Args:
-        me: This front's name.
+        me: This front.
         rank: How well it suits; smaller is better.
         first_at: Before this time it claims nothing, in seconds.
         now: The time, in seconds.
@@ -68,12 +75,16 @@
             followed one, or to one that did.
     """
 
-    def __init__(self, me: str, rank: int, first_at: float, now: float) -> None:
+    def __init__(
+        self, me: session_lib.Endpoint, rank: int, first_at: float, now: float
+    ) -> None:
         self.rank = rank
         self.followed = locating.OwnerRef()
         self.heard_at = float("-inf")
         self.inherited: tuple[int, ...] = ()
-        self._me = me
+        self._me = me.name
+        mark = f"{me.name}/{me.incarnation}".encode()
+        self._term_mark = zlib.crc32(mark) % TERM_STEP
         self._first_at = first_at
         self._highest_term = 0
         self._seeking_since: float | None = now
@@ -81,6 +92,11 @@
         self._evidence: dict[str, tuple[locating.View, float]] = {}
         self._followers: dict[str, _Follower] = {}
 
+    @property
+    def is_first(self) -> bool:
+        """Whether no owner was known before the followed one."""
+        return self.followed.term // TERM_STEP == 1
+
     @property
     def is_owner(self) -> bool:
         """Whether this front owns the jobs."""
@@ -115,7 +131,7 @@
             return False
         if self.is_heard(now) or not self._suits(now):
             return False
-        self._claim(self._highest_term + 1, now)
+        self._claim(now)
         return True
 
     def take_beat(
@@ -160,7 +176,7 @@
             return False
         own = (self.followed.term, *self.inherited) if self.is_owner else ()
         inherited = {handover.term, *handover.inherited, *own}
-        self._claim(self._highest_term + 1, now)
+        self._claim(now)
         self.inherited = tuple(sorted(inherited))[-KEPT_TERMS:]
         return True
 
@@ -192,7 +208,9 @@
             return ""
         return best.name if is_stopping or best.rank < self.rank else ""
 
-    def _claim(self, term: int, now: float) -> None:
+    def _claim(self, now: float) -> None:
+        number = self._highest_term // TERM_STEP + 1
+        term = number * TERM_STEP + self._term_mark
         self.followed = locating.OwnerRef(self._me, term)
         self.inherited = ()
         self.heard_at = now
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -78,7 +78,7 @@
         seeds = settings_lib.list_seed_ips(settings)
         self._knowledge = knowledge_lib.Knowledge(seeds, random.Random())
         self._election = election_lib.Election(
-            me.name,
+            me,
             _find_rank(settings),
             now + (FIRST_CLAIM_S if settings.bootstrap else CLAIM_S),
             now,
@@ -169,6 +169,7 @@
                 passage.term,
                 passage.former_term,
                 round(passage.lapse_s * 1000),
+                round(passage.older_lapse_s * 1000),
             )
 
         timeout_s = max(patience_ms / 1000 - SUBMIT_MARGIN_S, SUBMIT_MARGIN_S)
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -20,6 +20,7 @@
         term: The target's term.
         former_term: The term of the target that it went to before; 0 if none.
         lapse_s: In how many seconds nothing of it runs there any more.
+        older_lapse_s: The same of the targets that it went to before that.
     """
 
     number: int
@@ -27,6 +28,7 @@
     term: int
     former_term: int
     lapse_s: float
+    older_lapse_s: float
 
 
 Build = t.Callable[[Passage], t.NamedTuple]
@@ -57,7 +59,9 @@
         self.begun_at = now
         self.useless_at = useless_at
         self.sent_term = 0
+        self.older_terms: set[int] = set()
         self.was_sent_again = False
+        self.is_answered = False
         self.reply: asyncio.Future[scheduling.Reply]
         self.reply = asyncio.get_running_loop().create_future()
         self.sent: asyncio.Future[None]
@@ -105,21 +109,32 @@
         now = clock_lib.read_monotonic()
         opened = _Open(build, now, now + useless_s)
         self._open[number] = opened
+        self._forward(number, opened)
         try:
-            self._forward(number, opened)
-            if not opened.sent_term:
-                await asyncio.wait([opened.sent], timeout=unsent_timeout_s)
-            if not opened.sent_term:
-                return self._describe_timeout(number, opened)
-            return await asyncio.wait_for(opened.reply, timeout_s)
-        except TimeoutError:
-            return self._describe_timeout(number, opened)
+            reply = await self._wait(opened, timeout_s, unsent_timeout_s)
         except asyncio.CancelledError:
-            if opened.sent_term:
-                self._target.send(scheduling.Abandon(number))
+            self._abandon(number, opened)
             raise
         finally:
             del self._open[number]
+        self._abandon(number, opened)
+        return reply or _describe_timeout(number, opened)
+
+    async def _wait(
+        self, opened: _Open, timeout_s: float, unsent_timeout_s: float
+    ) -> scheduling.Reply | None:
+        """Returns the reply; None if it does not come in time."""
+        if not opened.sent_term:
+            await asyncio.wait([opened.sent], timeout=unsent_timeout_s)
+        if not opened.sent_term:
+            return None
+        await asyncio.wait([opened.reply], timeout=timeout_s)
+        return opened.reply.result() if opened.reply.done() else None
+
+    def _abandon(self, number: int, opened: _Open) -> None:
+        """Tells the target that a request is over, unless it ended it."""
+        if opened.sent_term and not opened.is_answered:
+            self._target.send(scheduling.Abandon(number))
 
     def take_reply(self, reply: scheduling.Reply) -> None:
         """Takes in a reply; one of a process that is no target is ignored."""
@@ -128,6 +143,8 @@
             return
         if reply.verdict is scheduling.Verdict.NOT_OWNER:
             return
+        # After another target was asked, the reply may be a former one's.
+        opened.is_answered = not opened.was_sent_again
         is_refusal = reply.verdict is scheduling.Verdict.NOT_RUN
         if is_refusal and opened.was_sent_again:
             # A former owner's refusal may come after another has started it.
@@ -163,30 +180,32 @@
         if not term or opened.reply.done():
             return
         former_term = opened.sent_term
+        lapses = [self._target.find_lapse(old) for old in opened.older_terms]
         passage = Passage(
             number,
             clock_lib.read_monotonic() - opened.begun_at,
             term,
             former_term,
             self._target.find_lapse(former_term) if former_term else 0.0,
+            max(lapses, default=0.0),
         )
         self._target.send(opened.build(passage))
         opened.was_sent_again = former_term > 0
+        if former_term and former_term != term:
+            opened.older_terms.add(former_term)
         opened.sent_term = term
         if not opened.sent.done():
             opened.sent.set_result(None)
 
-    def _describe_timeout(self, number: int, opened: _Open) -> scheduling.Reply:
-        if opened.sent_term:
-            self._target.send(scheduling.Abandon(number))
-            return scheduling.Reply(
-                number,
-                scheduling.Verdict.UNCERTAIN,
-                "the owner has not answered in time",
-            )
-        return scheduling.Reply(
-            number, scheduling.Verdict.NOT_RUN, "no owner is known"
-        )
+
+def _describe_timeout(number: int, opened: _Open) -> scheduling.Reply:
+    if opened.sent_term:
+        verdict = scheduling.Verdict.UNCERTAIN
+        detail = "the owner has not answered in time"
+    else:
+        verdict = scheduling.Verdict.NOT_RUN
+        detail = "no owner is known"
+    return scheduling.Reply(number, verdict, detail)
 
 
 def create_numbers() -> t.Iterator[int]:
--- a/src/skylarkcleat/front/succession.py
+++ b/src/skylarkcleat/front/succession.py
@@ -135,15 +135,16 @@
         if reply is None:
             return
         if was_owner:
+            self._note_followed(former.term, now)
             self._yield(sender, former.term, inherited)
-        self._note_followed(now)
+        self._note_followed(self._election.followed.term, now)
         self._send(sender, reply)
 
-    def _note_followed(self, now: float) -> None:
-        followed_at = self._followed_at
-        followed_at[self._election.followed.term] = now
-        while len(followed_at) > election_lib.KEPT_TERMS:
-            del followed_at[min(followed_at)]
+    def _note_followed(self, term: int, now: float) -> None:
+        """Takes in that jobs of this front may run in a term until now."""
+        self._followed_at[term] = now
+        while len(self._followed_at) > election_lib.KEPT_TERMS:
+            del self._followed_at[min(self._followed_at)]
 
     def _begin(
         self, former: locating.OwnerRef, silence_s: float, now: float
@@ -156,9 +157,7 @@
             and known.term == former.term
             and silence_s < FRESH_S
         )
-        is_restart = (
-            election.followed.term == 1 and now - self._begun_at < RESTART_S
-        )
+        is_restart = election.is_first and now - self._begun_at < RESTART_S
         is_settled = is_complete or is_restart
         predecessor = owner_lib.Predecessor(
             former.term,
@@ -178,7 +177,7 @@
             self._ownership.extend(term, handover.sides)
         else:
             predecessor = owner_lib.Predecessor(
-                handover.term, handover.sides, now
+                handover.term, handover.sides, now, self._list_fronts(now)
             )
             self._ownership.begin(term, predecessor)
         self._announce(handover.sides, now)
@@ -198,7 +197,7 @@
         sides = self._ownership.end(f"handed over to {heir}")
         inherited = self._election.inherited
         self._election.resign(heir, now)
-        self._note_followed(now)
+        self._note_followed(term, now)
         self._send(heir, owning.Handover(term, inherited, sides))
         self._move(sides, heir, term)
 
@@ -210,7 +209,7 @@
         """Tells fronts and side processes at once who owns the jobs."""
         eliot.log_message("front:claimed", term=self._election.followed.term)
         self._told.clear()
-        self._note_followed(now)
+        self._note_followed(self._election.followed.term, now)
         self._beat(now)
         found = locating.OwnerFound(self._election.followed)
         for side in sides:
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -62,6 +62,8 @@
         if owner == self._me.name:
             self._ownership.receive(self._me, message)
             return
+        if not owner:
+            return
         version = self._configurations.version
         if self._succession.find_version(owner) < version:
             self._succession.note_version(owner, version)
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -86,6 +86,7 @@
         former_term: The term of the owner that may have started tasks of it;
             0 if none was sent it.
         lapse_ms: In how many milliseconds nothing runs under that owner.
+        older_lapse_ms: The same of the owners that were sent it before that.
     """
 
     request: int
@@ -97,6 +98,7 @@
     term: int
     former_term: int = 0
     lapse_ms: int = 0
+    older_lapse_ms: int = 0
 
     @property
     def was_sent(self) -> bool:
--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -36,6 +36,7 @@
             so only both together name a run.
         failures: How many of its runs failed.
         shunned: Side processes on which it failed.
+        may_run_twice: Whether another run of it was found and told to stop.
     """
 
     def __init__(self, name: str, step: int) -> None:
@@ -46,6 +47,7 @@
         self.side = ""
         self.failures = 0
         self.shunned: set[str] = set()
+        self.may_run_twice = False
 
     def place(self, run: int, side: str) -> None:
         """Takes in which run of the task is under way, and where."""
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -153,17 +153,22 @@
         self._hold_back(added, message, now)
         for task in added.tasks:
             for worker, placed in self._workers.list_runs(task.name):
-                self._adopt(added, task, worker, placed.run, now)
+                self._adopt_or_stop(added, task, worker, placed.run, now)
         if not self._end_if_done(added, now):
             self._jobs.queue(added)
 
     def _hold_back(
         self, job: active.ActiveJob, message: scheduling.Submit, now: float
     ) -> None:
-        """Starts nothing while a former owner's tasks of a job may run."""
+        """Starts nothing while a former owner's tasks of a job may run.
+
+        What runs under this owner's predecessor is reported or has lapsed
+        before this one starts anything.
+        """
+        lapse_ms = message.older_lapse_ms
         if message.former_term != self._former_term:
-            startable_at = now + message.lapse_ms / 1000
-            job.startable_at = max(job.startable_at, startable_at)
+            lapse_ms = max(lapse_ms, message.lapse_ms)
+        job.startable_at = max(job.startable_at, now + lapse_ms / 1000)
 
     def abandon(self, peer: session_lib.Endpoint, request: int) -> None:
         """Takes in that a caller has gone."""
@@ -321,6 +326,8 @@
         if now < job.startable_at or not self._is_attended(job, now):
             return False
         waiting = job.list_waiting()
+        if any(self._is_stopping(task) for task in waiting):
+            return False
         if not job.started and not placement.has_room(job, waiting, workers):
             return False
         for task in waiting:
@@ -334,6 +341,12 @@
             self._start(job, task, choice[0], choice[1], now)
         return True
 
+    def _is_stopping(self, task: active.Task) -> bool:
+        """Returns whether a run of a waiting task has yet to end."""
+        if task.may_run_twice:
+            task.may_run_twice = bool(self._workers.list_runs(task.name))
+        return task.may_run_twice
+
     def _start(
         self,
         job: active.ActiveJob,
@@ -488,7 +501,7 @@
             detail = "no runner has room in time"
             self._end_job(job, verdict, detail, now, round(wait_s * 1000))
 
-    def _adopt(
+    def _adopt_or_stop(
         self,
         job: active.ActiveJob,
         task: active.Task,
@@ -496,6 +509,12 @@
         run: int,
         now: float,
     ) -> None:
+        """Takes over a run that this owner did not order."""
+        if task.state is not active.TaskState.WAITING or task.may_run_twice:
+            task.may_run_twice = True
+            stop = scheduling.Stop(worker.epoch, task.name, run)
+            self._send(worker.peer, stop)
+            return
         task.place(run, worker.side)
         job.started = True
         job.record(task.name, run, worker.side, "adopted", now)
@@ -514,13 +533,8 @@
         worker.add(placed)
         job = self._jobs.find(run.task)
         task = job.find_task(run.task) if job else None
-        if task is None:
-            return
-        if task.state is active.TaskState.WAITING:
-            self._adopt(job, task, worker, run.run, now)
-        else:
-            stop = scheduling.Stop(worker.epoch, run.task, run.run)
-            self._send(worker.peer, stop)
+        if task is not None:
+            self._adopt_or_stop(job, task, worker, run.run, now)
 
     def _keep_or_stop(
         self, worker: worker_lib.Worker, run: scheduling.Run
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -270,10 +270,16 @@
     """Fronts, side processes, runners and callers."""
 
     def __init__(
-        self, seed: int, faults: Faults, fronts: int = 3, sides: int = 4
+        self,
+        seed: int,
+        faults: Faults,
+        fronts: int = 3,
+        sides: int = 4,
+        jobs_per_s: int = 12,
     ) -> None:
         self.random = random.Random(seed)
         self.faults = faults
+        self.jobs_per_s = jobs_per_s
         self.runs: list[Run] = []
         self.verdicts: dict[str, list[scheduling.Verdict]] = {}
         self._works: dict[str, float] = {}
@@ -348,7 +354,7 @@
         calls = []
         while self.now < end:
             calls.append(asyncio.create_task(self._call()))
-            await asyncio.sleep(self.random.expovariate(12.0))
+            await asyncio.sleep(self.random.expovariate(self.jobs_per_s))
         await asyncio.gather(*calls)
 
     async def _call(self) -> None:
@@ -407,10 +413,12 @@
             self._kill_many,
             self._darken,
         )
-        while self.now < end:
-            self.random.choice(kinds)()
+        while True:
             gap_s = self.random.expovariate(1 / self.faults.gap_s)
+            if self.now + gap_s > end:
+                return
             await asyncio.sleep(gap_s)
+            self.random.choice(kinds)()
 
     @property
     def _names(self) -> list[str]:
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -26,7 +26,7 @@
 
 
 def _build(passage):
-    path = f"/{passage.former_term}/{passage.lapse_s}"
+    path = f"/{passage.former_term}/{passage.lapse_s}/{passage.older_lapse_s}"
     return scheduling.Ask(passage.number, "h", path, "", False, passage.term)
 
 
@@ -69,8 +69,11 @@
     async def scene(owner, requests):
         owner.term = 2
         requests.send_again()
-        assert [m.path for m in owner.sent] == ["/0/0.0", "/1/0.5"]
-        assert [m.term for m in owner.sent] == [1, 2]
+        owner.term = 3
+        requests.send_again()
+        paths = ["/0/0.0/0.0", "/1/0.5/0.0", "/2/0.5/0.5"]
+        assert [m.path for m in owner.sent] == paths
+        assert [m.term for m in owner.sent] == [1, 2, 3]
         requests.take_reply(_reply(scheduling.Verdict.NOT_RUN))
 
     assert _play(scene) is scheduling.Verdict.UNCERTAIN
@@ -116,3 +119,31 @@
         assert len(requests) == 0
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("verdict", ["completed", "uncertain", None])
+def test_a_second_owner_is_told_that_its_answer_is_not_waited_for(verdict):
+    async def main():
+        owner = Owner()
+        requests = _create(owner)
+        call = asyncio.create_task(requests.call(_build, 0.3, 0.1, 0.0))
+        await asyncio.sleep(0)
+        owner.term = 2
+        requests.send_again()
+        if verdict is None:
+            requests.give_up()
+        else:
+            requests.take_reply(_reply(scheduling.Verdict(verdict)))
+        await call
+        assert owner.sent[-1] == scheduling.Abandon(1)
+
+    asyncio.run(main())
+
+
+def test_an_owner_that_has_answered_hears_no_more():
+    async def scene(owner, requests):
+        requests.take_reply(_reply(scheduling.Verdict.COMPLETED))
+        await asyncio.sleep(0.01)
+        assert len(owner.sent) == 1
+
+    assert _play(scene) is scheduling.Verdict.COMPLETED
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -439,3 +439,31 @@
     assert len(_take(owner, scheduling.Start, 0.51)) == 0
     owner.tick(0.52)
     assert len(_take(owner, scheduling.Start, 0.52)) == 1
+
+
+def test_a_task_found_running_twice_starts_again_only_once_both_have_ended():
+    owner = _succeed(["side-1", "side-2"], 0.0)
+    first = _ask_lease(owner, "side-1", 0.0)
+    second = _ask_lease(owner, "side-2", 0.0)
+    owner.submit(FRONT, _submit(was_sent=True), QUEUE, 0.0)
+    run = scheduling.Run(TASK, 1, 1000, 64, 0)
+    owner.report("side-1", scheduling.Report(first, (run,), ()), 0.0)
+    other = run._replace(run=2)
+    owner.report("side-2", scheduling.Report(second, (other,), ()), 0.0)
+    assert [stop.run for stop in _take(owner, scheduling.Stop)] == [2]
+    gone = scheduling.NotStarted(first, TASK, 1, "gone")
+    owner.take_back("side-1", gone, 0.1)
+    assert not _take(owner, scheduling.Start, 0.1)
+    stopped = scheduling.End(1, TASK, 2, scheduling.Ending.STOPPED)
+    owner.end_runs("side-2", scheduling.Ended(second, (stopped,)), 0.2)
+    assert len(_take(owner, scheduling.Start, 0.2)) == 1
+
+
+def test_a_job_waits_for_every_owner_that_was_sent_it():
+    owner = _succeed(["side-1"], 0.0)
+    _register(owner)
+    message = _submit(was_sent=True)._replace(older_lapse_ms=50)
+    owner.submit(FRONT, message, QUEUE, 0.0)
+    assert not _take(owner, scheduling.Start, 0.04)
+    owner.tick(0.06)
+    assert _take(owner, scheduling.Start, 0.06)
