Learn runners' speeds from what tasks took, see a slow one before anything ends

Each end moved a runner's factor by a fifth of its error against what had been expected when it was ordered. Ruled out: the order of waiting jobs (no gain, see docs/design/platform.md). Change: a duration is compared with what a runner of middling speed would take, and the factor moves towards that; so do queues' factors. Runs that are late count before they end, a job's tasks once.

--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import typing as t
 
 import eliot
@@ -32,9 +31,6 @@
 REFUSE_S = 0.05
 """How often jobs are looked through for those that can't be served."""
 
-_MAX_DURATION_ERROR = math.log(20)
-_MIN_DURATION_S = 0.001
-
 
 class Outgoing(t.NamedTuple):
     """A message to one incarnation of a process."""
@@ -435,11 +431,16 @@
         worker.speed.failures = 0
         if placed.expected_s <= 0:
             return
-        took = max(now - placed.started_at, _MIN_DURATION_S)
-        error = math.log(took / placed.expected_s)
-        error = max(-_MAX_DURATION_ERROR, min(_MAX_DURATION_ERROR, error))
-        worker.speed.learn(error, now)
-        self._jobs.estimates.learn(job.queue.name, error)
+        took_s = now - placed.started_at
+        estimates = self._jobs.estimates
+        factor = worker.speed.find_factor(now)
+        queue = job.queue.name
+        estimate_ms = placed.step.estimate_ms
+        base_s = estimates.expect(queue, estimate_ms)
+        if placement.is_remote(worker, placed.step):
+            took_s /= placement.REMOTE_FACTOR
+        worker.speed.learn(took_s, base_s, now)
+        estimates.learn(queue, took_s, estimate_ms / 1000 * factor)
 
     def _end_if_done(self, job: active.ActiveJob, now: float) -> bool:
         if job.is_done:
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 
+from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active
 from skylarkcleat.scheduling import worker as worker_lib
 
@@ -68,14 +69,19 @@
             continue
         if not worker.fits(step) or not _is_allowed(worker, job, task, now):
             continue
-        expected = base_s * worker.speed.find_factor(now)
-        if step.data_rack and worker.rack != step.data_rack:
+        expected = base_s * worker.factor
+        if is_remote(worker, step):
             expected *= REMOTE_FACTOR
         if best is None or expected < best[1]:
             best = (worker, expected)
     return best
 
 
+def is_remote(worker: worker_lib.Worker, step: scheduling.Step) -> bool:
+    """Returns whether a task's data lie in another rack than the runner."""
+    return bool(step.data_rack) and worker.rack != step.data_rack
+
+
 def _is_allowed(
     worker: worker_lib.Worker,
     job: active.ActiveJob,
--- a/src/skylarkcleat/scheduling/speed.py
+++ b/src/skylarkcleat/scheduling/speed.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
+import collections.abc
 import math
 
 _QUEUE_WEIGHT = 0.05
-_RUNNER_WEIGHT = 0.2
+_RUNNER_WEIGHT = 0.3
 _MAX_FACTOR = math.log(30)
+_MIN_DURATION_S = 0.001
+_LATE = math.log(1.5)
+"""A run that takes less than half as long again as expected is not late: a
+queue's own durations spread as much."""
+
 FORGET_S = 6.0
 """After this time without a task, a slow runner counts half as slow."""
 
@@ -43,13 +49,38 @@
         idle_s = max(0.0, now - self._seen_at - FORGET_S)
         return math.exp(self._log * 0.5 ** (idle_s / FORGET_S))
 
-    def learn(self, error: float, now: float) -> None:
-        """Takes in the logarithm of a duration over its expectation."""
+    def find_present_factor(
+        self, now: float, lateness: collections.abc.Iterable[float]
+    ) -> float:
+        """Returns the factor on durations, with what runs late counted.
+
+        Answers a runner that turns slow: nothing ends there for a while, so
+        that nothing would be learned.
+
+        Args:
+            now: The time, in seconds.
+            lateness: Of each run that is under way, the time that it has taken
+                over the time that it was expected to take.
+        """
+        errors = [math.log(late) for late in lateness if late > 1]
+        errors = [error for error in errors if error > _LATE]
+        late = min(sum(errors) * _RUNNER_WEIGHT, max(errors, default=0.0))
+        return self.find_factor(now) * math.exp(min(late, _MAX_FACTOR))
+
+    def learn(self, took_s: float, base_s: float, now: float) -> None:
+        """Takes in a duration.
+
+        Args:
+            took_s: How long a task took, in seconds.
+            base_s: How long it was expected to take on a runner of middling
+                speed. What was expected here says nothing: many tasks end that
+                began before the first of them was learned from.
+            now: The time, in seconds.
+        """
         self._samples += 1
         self._seen_at = now
         weight = max(_RUNNER_WEIGHT, 1 / (1 + self._samples))
-        moved = self._log + weight * error
-        self._log = max(-_MAX_FACTOR, min(_MAX_FACTOR, moved))
+        self._log += weight * (_compare(took_s, base_s) - self._log)
 
 
 class Estimates:
@@ -63,7 +94,19 @@
         factor = math.exp(self._logs.get(queue, 0.0))
         return max(estimate_ms, 1) / 1000 * factor
 
-    def learn(self, queue: str, error: float) -> None:
-        """Takes in the logarithm of a duration over its expectation."""
-        moved = self._logs.get(queue, 0.0) + _QUEUE_WEIGHT * error
-        self._logs[queue] = max(-_MAX_FACTOR, min(_MAX_FACTOR, moved))
+    def learn(self, queue: str, took_s: float, estimate_s: float) -> None:
+        """Takes in a duration.
+
+        Args:
+            queue: The queue.
+            took_s: How long a task took, in seconds.
+            estimate_s: How long it would take by its estimate on that runner.
+        """
+        known = self._logs.get(queue, 0.0)
+        moved = _QUEUE_WEIGHT * (_compare(took_s, estimate_s) - known)
+        self._logs[queue] = known + moved
+
+
+def _compare(took_s: float, expected_s: float) -> float:
+    ratio = max(took_s, _MIN_DURATION_S) / max(expected_s, _MIN_DURATION_S)
+    return max(-_MAX_FACTOR, min(_MAX_FACTOR, math.log(ratio)))
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -10,6 +10,9 @@
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.wire import session as session_lib
 
+FACTOR_S = 0.02
+"""How often a runner's slowness is worked out."""
+
 
 class Phase(enum.Enum):
     """What may be sent to a side process."""
@@ -26,7 +29,7 @@
         run: Its number.
         step: What it takes.
         started_at: When it was ordered, in seconds.
-        expected_s: How long it was expected to take.
+        expected_s: How long it was expected to take there.
     """
 
     task: str
@@ -51,6 +54,8 @@
         is_silent: Whether its runner does not answer.
         runs: What runs there, by task.
         speed: How fast the runner is.
+        factor: How much longer tasks take there than elsewhere, as of the
+            last `note_time`.
     """
 
     def __init__(
@@ -72,6 +77,8 @@
         self.is_silent = False
         self.runs: dict[str, Placed] = {}
         self.speed = speed
+        self.factor = speed.find_factor(now)
+        self._factor_at = now
         self._cpu = 0
         self._memory_mb = 0
         self._gpu = 0
@@ -96,6 +103,20 @@
             return False
         return now < self.granted_at + lease.FRONT_LEASE_S
 
+    def note_time(self, now: float) -> None:
+        """Renews `factor`, unless it is new enough."""
+        if now - self._factor_at < FACTOR_S:
+            return
+        self._factor_at = now
+        lateness: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.expected_s > 0:
+                # A job's estimate is off for all its tasks: they count once.
+                job = run.task.partition(".")[0]
+                late = (now - run.started_at) / run.expected_s
+                lateness[job] = min(late, lateness.get(job, late))
+        self.factor = self.speed.find_present_factor(now, lateness.values())
+
     def fits(self, step: scheduling.Step) -> bool:
         """Returns whether the runner has room for a task of a step."""
         runner = self.runner
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -131,6 +131,8 @@
 
     def list_open(self, now: float) -> list[worker_lib.Worker]:
         """Returns the workers that may be sent tasks."""
+        for worker in self.by_side.values():
+            worker.note_time(now)
         return [each for each in self.by_side.values() if each.is_open(now)]
 
     def list_runs(
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -17,6 +17,7 @@
 UPSTREAM = "desk"
 ORDER_S = 0.0015
 REPORT_S = 0.003
+STOP_S = 0.05
 TICK_S = 0.02
 RENEW_S = 0.15
 
@@ -106,6 +107,7 @@
         self._epochs: dict[int, int] = {}
         self._ends: dict[int, int] = {}
         self._failing: set[str] = set()
+        self._running: set[tuple[int, str, int]] = set()
         self._queues = {kind.name: _create_queue(kind) for kind in KINDS}
 
     def play(self) -> World:
@@ -244,6 +246,11 @@
             elif isinstance(message, scheduling.Start):
                 runner = int(outgoing.peer.name.partition("-")[2])
                 self._start(runner, message, now + ORDER_S)
+            elif isinstance(message, scheduling.Stop):
+                runner = int(outgoing.peer.name.partition("-")[2])
+                stopped = scheduling.Ending.STOPPED
+                end = self._end(runner, message, stopped)
+                self._at(now + ORDER_S + STOP_S, end)
 
     def _start(self, runner: int, start: scheduling.Start, now: float) -> None:
         job_id, _, _, index = start.task.split(".")
@@ -257,13 +264,21 @@
                 if trouble.fails:
                     ending = scheduling.Ending.FAILED
                     took_s = 0.005
+        self._running.add((runner, start.task, start.run))
         self.runs.append((now, now + took_s, runner, start.task, ending))
         self._at(now + took_s + REPORT_S, self._end(runner, start, ending))
 
     def _end(
-        self, runner: int, start: scheduling.Start, ending: scheduling.Ending
+        self,
+        runner: int,
+        start: scheduling.Start | scheduling.Stop,
+        ending: scheduling.Ending,
     ) -> t.Callable[[float], None]:
         def act(now: float) -> None:
+            key = (runner, start.task, start.run)
+            if key not in self._running:
+                return
+            self._running.remove(key)
             self._ends[runner] += 1
             end = scheduling.End(
                 self._ends[runner], start.task, start.run, ending
