Serve metrics on the platform, count lost log lines in the log

Counted from the log lines, by an eliot destination, so that decisions stay free of counting; labels are bounded. Weighed: a second set of counters inside owner and side process, which would tell another story than the log sooner or later.

--- a/src/skylarkcleat/logs.py
+++ b/src/skylarkcleat/logs.py
@@ -12,6 +12,7 @@
 import re
 import sys
 import threading
+import time
 import typing as t
 
 import eliot
@@ -24,6 +25,7 @@
 STDOUT = "-"
 JOB_ACTION = "skylarkcleat:job"
 REMOTE_ACTION = "skylarkcleat:attempts"
+LOST_MESSAGE = "skylarkcleat:lines-lost"
 SKIPPED_MESSAGE = "skylarkcleat:jobs-not-logged"
 _NOTICE_S = 1.0
 _TASK_ID = re.compile(r"[0-9a-f-]{36}@(/[0-9]{1,9}){1,32}")
@@ -153,14 +155,27 @@
             self.lost += 1
 
     def _write_lines(self) -> None:
+        said = 0
         while (message := self._lines.get()) is not None:
-            line = self._encoder.encode({**message, "process": self._process})
-            try:
-                self._file.write(line + b"\n")
-                if self._lines.empty():
-                    self._file.flush()
-            except OSError:
-                self.lost += 1
+            self._write_line(message)
+            if self._lines.empty() and self.lost > said:
+                said = self.lost
+                self._write_line(
+                    {
+                        "timestamp": time.time(),
+                        "message_type": LOST_MESSAGE,
+                        "count": said,
+                    }
+                )
+
+    def _write_line(self, message: dict[str, t.Any]) -> None:
+        line = self._encoder.encode({**message, "process": self._process})
+        try:
+            self._file.write(line + b"\n")
+            if self._lines.empty():
+                self._file.flush()
+        except OSError:
+            self.lost += 1
 
 
 def get_task_id(action: eliot.Action | None) -> str:
--- /dev/null
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -0,0 +1,124 @@
+"""Counters and histograms of the platform's processes, from their log lines.
+
+Each decision writes a line; counting those keeps metrics and logs from telling
+different stories, and the decisions free of counting.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import aioprometheus
+
+from skylarkcleat.metrics import label
+from skylarkcleat.metrics import metrics as metrics_lib
+
+MAX_TYPES = 64
+MAX_REASONS = 32
+JOB_ENDED = "owner:job-ended"
+
+
+class DecisionMetrics:
+    """Counts what one process decides; an eliot destination.
+
+    Labels take a bounded number of values, as in `metrics.Metrics`.
+    """
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self._types = label.LabelSet(MAX_TYPES)
+        self._queues = label.LabelSet()
+        self._reasons = label.LabelSet(MAX_REASONS)
+        self._lines = self._add_counter(
+            "log_lines_total", "Log lines by type: what was decided how often."
+        )
+        self._lost = aioprometheus.Gauge(
+            metrics_lib.PREFIX + "log_lines_lost",
+            "Log lines that were lost since the start.",
+            registry=self._registry,
+        )
+        self._jobs = self._add_counter(
+            "jobs_total", "Jobs that ended here, by queue, verdict and cause."
+        )
+        self._runs = self._add_counter(
+            "runs_total", "What became of tasks' runs, by event."
+        )
+        self._took = self._add_histogram(
+            "job_seconds",
+            "From submission to the end of completed jobs.",
+            metrics_lib.SECONDS_BUCKETS,
+        )
+        self._ratio = self._add_histogram(
+            "job_ratio",
+            "The same over the job's objective.",
+            metrics_lib.RATIO_BUCKETS,
+        )
+        self._values = {
+            "term": self._add_gauge("owner_term", "Term of the owner here."),
+            "version": self._add_gauge(
+                "configuration_version", "Version of the configuration."
+            ),
+        }
+
+    def __call__(self, message: dict[str, t.Any]) -> None:
+        """Takes in a log line."""
+        kind = message.get("message_type", "")
+        self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
+        if kind == JOB_ENDED:
+            self._count_job(message)
+        elif kind in ("owner:begun", "owner:extended"):
+            self._values["term"].set({}, message["term"])
+        elif kind == "owner:ended":
+            self._values["term"].set({}, 0)
+        elif kind == "front:configuration":
+            self._values["version"].set({}, message["version"])
+
+    def render(
+        self, accepts: t.Sequence[str], lost: int
+    ) -> tuple[bytes, dict[str, str]]:
+        """Returns the body and the headers of an answer to a scrape.
+
+        Args:
+            accepts: The values of the request's `Accept` headers.
+            lost: How many log lines were lost.
+        """
+        self._lost.set({}, lost)
+        return aioprometheus.render(self._registry, accepts)
+
+    def _count_job(self, message: dict[str, t.Any]) -> None:
+        queue = self._queues.admit(message["queue"])
+        cause = message["detail"].replace(" ", "-") or "none"
+        self._jobs.inc(
+            {
+                "queue": queue,
+                "verdict": message["verdict"],
+                "cause": self._reasons.admit(cause),
+            }
+        )
+        for record in message["runs"]:
+            self._runs.inc({"event": self._reasons.admit(record.event)})
+        if message["verdict"] == "completed":
+            labels = {"queue": queue}
+            self._took.observe(labels, message["age_ms"] / 1000)
+            objective_ms = max(message["objective_ms"], 1)
+            self._ratio.observe(labels, message["age_ms"] / objective_ms)
+
+    def _add_counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            metrics_lib.PREFIX + name, doc, registry=self._registry
+        )
+
+    def _add_gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(
+            metrics_lib.PREFIX + name, doc, registry=self._registry
+        )
+
+    def _add_histogram(
+        self, name: str, doc: str, buckets: tuple[float, ...]
+    ) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            metrics_lib.PREFIX + name,
+            doc,
+            registry=self._registry,
+            buckets=buckets,
+        )
--- a/src/skylarkcleat/platform/daemon.py
+++ b/src/skylarkcleat/platform/daemon.py
@@ -13,6 +13,7 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import logs
+from skylarkcleat.platform import metrics_server
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
@@ -49,9 +50,10 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
-        eliot.log_message("process:started", zone=settings.zone)
-        await serve(settings, stopping)
-        eliot.log_message("process:stopped")
+        async with metrics_server.serve_metrics(settings, log):
+            eliot.log_message("process:started", zone=settings.zone)
+            await serve(settings, stopping)
+            eliot.log_message("process:stopped")
 
     log = logs.create_log("info", logs.STDOUT, settings.node)
     with log, asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -195,6 +195,9 @@
     def control_url(self, number: int, path: str) -> str:
         return f"http://{self.fronts[number].ip}:{self._port + 3}{path}"
 
+    def metrics_url(self, process: Process) -> str:
+        return f"http://{process.ip}:{self._port + 6}/metrics"
+
     def ready_url(self, number: int) -> str:
         ip = self.fronts[number].ip
         return f"http://{ip}:{self._port + 4}/api/ready"
@@ -224,7 +227,7 @@
         seeds = json.dumps([f"{self._ip(n)}:{port + 3}" for n in (1, 2, 4)])
         return (
             f'node = "{ip}"\nip = "{ip}"\nzone = "z"\n'
-            f"port-range = [{port}, {port + 1}]\nseeds = {seeds}\n"
+            f"port-range = [{port}, {port + 6}]\nseeds = {seeds}\n"
             f"bootstrap = true\ncounts-as-loss = {str(has_disk).lower()}\n"
         )
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -90,3 +90,16 @@
 
 def test_job_that_is_not_logged_sends_no_task_id():
     assert logs.get_task_id(None) == ""
+
+
+def test_lines_that_were_lost_are_counted_in_the_log(open_log, monkeypatch):
+    monkeypatch.setattr(logs, "MAX_WAITING_LINES", 1)
+    log = open_log()
+    for number in range(4):
+        log._take({"message_type": "early", "number": number})
+    with log:
+        pass
+    found = [line for line in open_log.read() if "count" in line]
+    assert [(line["message_type"], line["count"]) for line in found] == [
+        (logs.LOST_MESSAGE, 3)
+    ]
--- /dev/null
+++ b/tests/test_metrics_decisions.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import pytest
+
+from skylarkcleat.metrics import decisions
+from skylarkcleat.scheduling import active
+
+
+def _end_job(queue="q", verdict="completed", age_ms=120):
+    return {
+        "message_type": decisions.JOB_ENDED,
+        "queue": queue,
+        "verdict": verdict,
+        "detail": "" if verdict == "completed" else "no runner has room",
+        "age_ms": age_ms,
+        "objective_ms": 100,
+        "runs": [
+            active.RunRecord("0.0", 1, "side-1", 0, "start"),
+            active.RunRecord("0.0", 1, "side-1", 120, "done"),
+        ],
+    }
+
+
+@pytest.fixture
+def metrics():
+    return decisions.DecisionMetrics()
+
+
+def _render(metrics, lost=0):
+    return metrics.render(["text/plain"], lost)[0].decode()
+
+
+def test_counts_jobs_by_queue_verdict_and_cause(metrics):
+    for message in (_end_job(), _end_job(), _end_job(verdict="not-run")):
+        metrics(message)
+    text = _render(metrics)
+    assert 'cause="no-runner-has-room"' in text
+    counts = [
+        float(line.rsplit(" ", 1)[1])
+        for line in text.splitlines()
+        if line.startswith("skylarkcleat_jobs_total{")
+    ]
+    assert sorted(counts) == [1, 2]
+    assert 'skylarkcleat_job_seconds_count{queue="q"} 2' in text
+
+
+def test_labels_stay_bounded(metrics):
+    for number in range(1000):
+        metrics(_end_job(queue=f"q{number}"))
+        metrics({"message_type": f"kind:{number}"})
+    text = _render(metrics)
+    assert 'queue="other"' in text
+    assert text.count("skylarkcleat_log_lines_total{") <= 65
+
+
+@pytest.mark.parametrize(
+    ("kind", "fields", "line"),
+    [
+        ("owner:begun", {"term": 7}, "skylarkcleat_owner_term 7"),
+        ("owner:ended", {"term": 7}, "skylarkcleat_owner_term 0"),
+        (
+            "front:configuration",
+            {"version": 3},
+            "skylarkcleat_configuration_version 3",
+        ),
+    ],
+)
+def test_shows_the_present_term_and_version(metrics, kind, fields, line):
+    metrics({"message_type": kind, **fields})
+    assert line in _render(metrics)
+
+
+def test_shows_how_many_lines_were_lost(metrics):
+    assert "skylarkcleat_log_lines_lost 4" in _render(metrics, 4)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -76,6 +76,23 @@
     play(scene)
 
 
+def test_every_process_serves_its_metrics(play):
+    async def scene(caller):
+        await caller.put(0, 1)
+        await caller.wait_served()
+        fleet = caller.fleet
+        texts = []
+        for process in (*fleet.fronts, *fleet.sides):
+            status, text = await caller.call("GET", fleet.metrics_url(process))
+            assert status == 200
+            texts.append(text.decode())
+        assert all('type="process.started"' in text for text in texts)
+        assert any("skylarkcleat_jobs_total{" in text for text in texts)
+        assert all("configuration_version 1" in text for text in texts[:4])
+
+    play(scene)
+
+
 def test_a_job_resent_to_another_front_runs_once(play):
     async def scene(caller):
         await caller.configure()
