--- a/src/skylarkcleat/cli/account.py
+++ b/src/skylarkcleat/cli/account.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import datetime
+import pathlib
 import time
 import typing as t
 
 import typer
 
 from skylarkcleat.cli import admin as admin_lib
+from skylarkcleat.cli import exit_code
+from skylarkcleat.timeline import captured
 
 _FOLLOW_S = 1.0
 _MS_PER_S = 1000
@@ -19,8 +22,20 @@
     control: admin_lib.ControlOption = admin_lib.DEFAULT_CONTROL,
     token: admin_lib.TokenOption = "",
     as_json: admin_lib.JsonOption = False,
+    logs: t.Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            help="A file of captured log lines of the platform's processes; "
+            "without it control is asked.",
+            exists=True,
+            dir_okay=False,
+        ),
+    ] = None,
 ) -> None:
     """Say in plain words why a job was late, lost, refused or doubled."""
+    if logs is not None:
+        _explain_captured(logs, job, as_json)
+        return
     admin = admin_lib.Admin(control, token)
     body = admin.call("GET", f"/v1/admin/jobs/{job}").body
     if as_json:
@@ -34,6 +49,36 @@
         typer.echo(_format_line(line))
 
 
+def _explain_captured(logs: pathlib.Path, job: str, as_json: bool) -> None:
+    with open(logs, encoding="utf-8", errors="replace") as rows:
+        account = captured.explain_job(captured.read_lines(rows), job)
+    sentence = captured.SENTENCES[account.cause]
+    if as_json:
+        lines = [line.fields for line in account.lines]
+        body = {"job": job, "cause": account.cause.value, "lines": lines}
+        admin_lib.print_json(body | {"summary": sentence})
+        return
+    typer.echo(sentence)
+    typer.echo(f"cause: {account.cause.value}")
+    for line in account.lines:
+        typer.echo(_format_captured(line))
+    if not account.lines:
+        raise typer.Exit(exit_code.ExitCode.UNKNOWN)
+
+
+def _format_captured(line: captured.Line) -> str:
+    hidden = ("message_type", "task_uuid", "task_level", "timestamp", "process")
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in hidden
+    )
+    place = line.prefix or (
+        f"{line.fields.get('timestamp', '')} {line.fields.get('process', '')}"
+    )
+    return f"{place} {line.kind} {fields}"
+
+
 def show_events(
     control: admin_lib.ControlOption = admin_lib.DEFAULT_CONTROL,
     token: admin_lib.TokenOption = "",
