--- a/src/skylarkcleat/logs.py
+++ b/src/skylarkcleat/logs.py
@@ -158,15 +158,22 @@
         said = 0
         while (message := self._lines.get()) is not None:
             self._write_line(message)
-            if self._lines.empty() and self.lost > said:
-                said = self.lost
-                self._write_line(
-                    {
-                        "timestamp": time.time(),
-                        "message_type": LOST_MESSAGE,
-                        "count": said,
-                    }
-                )
+            if self._lines.empty():
+                said = self._say_lost(said)
+        self._say_lost(said)
+
+    def _say_lost(self, said: int) -> int:
+        """Writes how many lines were lost, unless that was said."""
+        lost = self.lost
+        if lost > said:
+            self._write_line(
+                {
+                    "timestamp": time.time(),
+                    "message_type": LOST_MESSAGE,
+                    "count": lost,
+                }
+            )
+        return lost
 
     def _write_line(self, message: dict[str, t.Any]) -> None:
         line = self._encoder.encode({**message, "process": self._process})
