Say once how an owner leaves, index a configuration once, ask without effects

Yielding to an owner and handing over to an heir were the same four steps twice; a front without a copy of the index built it twice for each new configuration, once by a comparison read in the wrong order; the list of open workers renewed their speeds as it was read, also for the scan of hopeless jobs, which has no use for them; a request whose first sending fails left its entry behind, as it was forwarded outside the clean-up.

--- a/src/skylarkcleat/discovery/knowledge.py
+++ b/src/skylarkcleat/discovery/knowledge.py
@@ -29,7 +29,7 @@
     Attributes:
         log: What is known of the replicated log.
         promises: The founders that each seed promised to accept.
-        view: The latest answer of each front itself, and when it came.
+        views: The latest answer of each front itself, and when it came.
     """
 
     def __init__(
--- a/src/skylarkcleat/front/configurations.py
+++ b/src/skylarkcleat/front/configurations.py
@@ -38,8 +38,7 @@
     @property
     def current(self) -> content.Configuration:
         """The newest configuration that this front has."""
-        if self._store is not None:
-            self.take(self._store.configuration)
+        self._refresh()
         return self._current
 
     @property
@@ -54,8 +53,7 @@
 
     def find(self, host: str, path: str) -> content.Match | None:
         """Returns the queue that a path belongs to, or None."""
-        if self._index.version != self.version:
-            self._index = content.QueueIndex(self._current)
+        self._refresh()
         return self._index.find(host, path)
 
     def take(self, configuration: content.Configuration) -> None:
@@ -89,3 +87,7 @@
         if self.version <= fetch.version:
             return None
         return locating.GiveConfiguration(content.encode(self.current))
+
+    def _refresh(self) -> None:
+        if self._store is not None:
+            self.take(self._store.configuration)
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -109,8 +109,8 @@
         now = clock_lib.read_monotonic()
         opened = _Open(build, now, now + useless_s)
         self._open[number] = opened
-        self._forward(number, opened)
         try:
+            self._forward(number, opened)
             reply = await self._wait(opened, timeout_s, unsent_timeout_s)
         except asyncio.CancelledError:
             self._abandon(number, opened)
--- a/src/skylarkcleat/front/succession.py
+++ b/src/skylarkcleat/front/succession.py
@@ -135,8 +135,9 @@
         if reply is None:
             return
         if was_owner:
-            self._note_followed(former.term, now)
-            self._yield(sender, former.term, inherited)
+            # The other owner has more side processes.
+            reason = f"{sender} owns the jobs too"
+            self._leave(reason, sender, former.term, inherited, now)
         self._note_followed(self._election.followed.term, now)
         self._send(sender, reply)
 
@@ -182,28 +183,28 @@
             self._ownership.begin(term, predecessor)
         self._announce(handover.sides, now)
 
-    def _yield(
-        self, winner: str, term: int, inherited: tuple[int, ...]
-    ) -> None:
-        """Leaves the jobs to another owner, which has more side processes."""
-        sides = self._ownership.end(f"{winner} owns the jobs too")
-        self._send(winner, owning.Handover(term, inherited, sides))
-        self._move(sides, winner, term)
-
     def _hand_over(self, heir: str, now: float) -> None:
         if not heir:
             return
         term = self._election.followed.term
-        sides = self._ownership.end(f"handed over to {heir}")
         inherited = self._election.inherited
         self._election.resign(heir, now)
+        self._leave(f"handed over to {heir}", heir, term, inherited, now)
+
+    def _leave(
+        self,
+        reason: str,
+        heir: str,
+        term: int,
+        inherited: tuple[int, ...],
+        now: float,
+    ) -> None:
+        """Gives what was owned in a term to the front that owns the jobs."""
+        sides = self._ownership.end(reason)
         self._note_followed(term, now)
         self._send(heir, owning.Handover(term, inherited, sides))
-        self._move(sides, heir, term)
-
-    def _move(self, sides: t.Iterable[str], owner: str, term: int) -> None:
         for side in sides:
-            self._send(side, owning.Moved(owner, term))
+            self._send(side, owning.Moved(heir, term))
 
     def _announce(self, sides: t.Iterable[str], now: float) -> None:
         """Tells fronts and side processes at once who owns the jobs."""
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -289,6 +289,7 @@
         if not self._jobs.is_changed or not self.is_settled(now):
             return
         self._jobs.is_changed = False
+        self._workers.note_time(now)
         workers = self._workers.list_open(now)
         self._jobs.backlog.place(
             now, lambda job: self._place_job(job, workers, now)
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -129,10 +129,13 @@
             self._told.pop(side, None)
             eliot.log_message("owner:side-unheard", side=side)
 
-    def list_open(self, now: float) -> list[worker_lib.Worker]:
-        """Returns the workers that may be sent tasks."""
+    def note_time(self, now: float) -> None:
+        """Renews what is thought of the runners' speeds."""
         for worker in self.by_side.values():
             worker.note_time(now)
+
+    def list_open(self, now: float) -> list[worker_lib.Worker]:
+        """Returns the workers that may be sent tasks."""
         return [each for each in self.by_side.values() if each.is_open(now)]
 
     def list_runs(
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -378,7 +378,7 @@
                 await asyncio.sleep(PAUSE_S)
                 self._note_lapse()
             elif self._ledger.has_unnoted_ends:
-                await self._wait(UNNOTED_PAUSE_S)
+                await self._wait_for(self._wake, UNNOTED_PAUSE_S)
 
     def _note_miss(self) -> None:
         """Takes in that a look got no answer.
@@ -416,9 +416,6 @@
         self._ledger.runs.clear()
         self._send_owner(scheduling.RunnerLost(self._tenure.epoch))
 
-    async def _wait(self, timeout_s: float) -> None:
-        await self._wait_for(self._wake, timeout_s)
-
     async def _wait_for(
         self, event: asyncio.Event, timeout_s: float | None
     ) -> None:
