Create metrics and open HTTP servers in one place each

Change: metrics.registry for all three, platform.listening for all servers, active.JOB_ENDED and RunRecord for writer and readers.

--- a/src/skylarkcleat/directory/metrics.py
+++ b/src/skylarkcleat/directory/metrics.py
@@ -5,10 +5,9 @@
 import collections
 import typing as t
 
-import aioprometheus
-
 from skylarkcleat.directory import directory as directory_lib
 from skylarkcleat.directory import server as server_lib
+from skylarkcleat.metrics import registry as registry_lib
 from skylarkcleat.model import member as member_lib
 
 
@@ -23,16 +22,24 @@
         """Creates the metrics of a replica."""
         self._directory = directory
         self._server = server
-        self._registry = aioprometheus.Registry()
-        self._revision = self._create("revision", "Revision of the directory")
-        self._age = self._create("age_seconds", "Age of this replica's state")
-        self._leads = self._create("leads", "1 while this replica leads")
-        self._subscribers = self._create(
-            "subscribers", "Processes that polled this replica lately"
+        self._registry = registry_lib.Registry()
+        self._revision = self._registry.add_gauge(
+            "directory_revision", "Revision of the directory"
+        )
+        self._age = self._registry.add_gauge(
+            "directory_age_seconds", "Age of this replica's state"
+        )
+        self._leads = self._registry.add_gauge(
+            "directory_leads", "1 while this replica leads"
+        )
+        self._subscribers = self._registry.add_gauge(
+            "directory_subscribers", "Processes that polled this replica lately"
         )
-        self._members = self._create("members", "Members by role and state")
-        self._rejected = self._create(
-            "rejected_frames", "Frames that held no message"
+        self._members = self._registry.add_gauge(
+            "directory_members", "Members by role and state"
+        )
+        self._rejected = self._registry.add_gauge(
+            "directory_rejected_frames", "Frames that held no message"
         )
 
     def render(self, accepts: t.Sequence[str]) -> tuple[bytes, dict[str, str]]:
@@ -56,9 +63,4 @@
             for state in member_lib.MemberState:
                 labels = {"role": role.value, "state": state.value}
                 self._members.set(labels, counts[role, state])
-        return aioprometheus.render(self._registry, accepts)
-
-    def _create(self, name: str, doc: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(
-            f"skylarkcleat_directory_{name}", doc, registry=self._registry
-        )
+        return self._registry.render(accepts)
--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -8,14 +8,13 @@
 
 import typing as t
 
-import aioprometheus
-
 from skylarkcleat.metrics import label
 from skylarkcleat.metrics import metrics as metrics_lib
+from skylarkcleat.metrics import registry as registry_lib
+from skylarkcleat.scheduling import active
 
 MAX_TYPES = 64
 MAX_REASONS = 32
-JOB_ENDED = "owner:job-ended"
 
 
 class DecisionMetrics:
@@ -25,37 +24,35 @@
     """
 
     def __init__(self) -> None:
-        self._registry = aioprometheus.Registry()
+        registry = self._registry = registry_lib.Registry()
         self._types = label.LabelSet(MAX_TYPES)
         self._queues = label.LabelSet()
         self._reasons = label.LabelSet(MAX_REASONS)
-        self._lines = self._add_counter(
+        self._lines = registry.add_counter(
             "log_lines_total", "Log lines by type: what was decided how often."
         )
-        self._lost = aioprometheus.Gauge(
-            metrics_lib.PREFIX + "log_lines_lost",
-            "Log lines that were lost since the start.",
-            registry=self._registry,
+        self._lost = registry.add_gauge(
+            "log_lines_lost", "Log lines that were lost since the start."
         )
-        self._jobs = self._add_counter(
+        self._jobs = registry.add_counter(
             "jobs_total", "Jobs that ended here, by queue, verdict and cause."
         )
-        self._runs = self._add_counter(
+        self._runs = registry.add_counter(
             "runs_total", "What became of tasks' runs, by event."
         )
-        self._took = self._add_histogram(
+        self._took = registry.add_histogram(
             "job_seconds",
             "From submission to the end of completed jobs.",
             metrics_lib.SECONDS_BUCKETS,
         )
-        self._ratio = self._add_histogram(
+        self._ratio = registry.add_histogram(
             "job_ratio",
             "The same over the job's objective.",
             metrics_lib.RATIO_BUCKETS,
         )
         self._values = {
-            "term": self._add_gauge("owner_term", "Term of the owner here."),
-            "version": self._add_gauge(
+            "term": registry.add_gauge("owner_term", "Term of the owner here."),
+            "version": registry.add_gauge(
                 "configuration_version", "Version of the configuration."
             ),
         }
@@ -64,7 +61,7 @@
         """Takes in a log line."""
         kind = message.get("message_type", "")
         self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
-        if kind == JOB_ENDED:
+        if kind == active.JOB_ENDED:
             self._count_job(message)
         elif kind in ("owner:begun", "owner:extended"):
             self._values["term"].set({}, message["term"])
@@ -83,7 +80,7 @@
             lost: How many log lines were lost.
         """
         self._lost.set({}, lost)
-        return aioprometheus.render(self._registry, accepts)
+        return self._registry.render(accepts)
 
     def _count_job(self, message: dict[str, t.Any]) -> None:
         queue = self._queues.admit(message["queue"])
@@ -102,23 +99,3 @@
             self._took.observe(labels, message["age_ms"] / 1000)
             objective_ms = max(message["objective_ms"], 1)
             self._ratio.observe(labels, message["age_ms"] / objective_ms)
-
-    def _add_counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            metrics_lib.PREFIX + name, doc, registry=self._registry
-        )
-
-    def _add_gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(
-            metrics_lib.PREFIX + name, doc, registry=self._registry
-        )
-
-    def _add_histogram(
-        self, name: str, doc: str, buckets: tuple[float, ...]
-    ) -> aioprometheus.Histogram:
-        return aioprometheus.Histogram(
-            metrics_lib.PREFIX + name,
-            doc,
-            registry=self._registry,
-            buckets=buckets,
-        )
--- a/src/skylarkcleat/metrics/metrics.py
+++ b/src/skylarkcleat/metrics/metrics.py
@@ -4,15 +4,13 @@
 
 import collections.abc
 
-import aioprometheus
-
 from skylarkcleat.metrics import gauge as gauge_lib
 from skylarkcleat.metrics import label
+from skylarkcleat.metrics import registry as registry_lib
 from skylarkcleat.model import cause as cause_lib
 from skylarkcleat.model import member
 from skylarkcleat.timeline import ending as ending_lib
 
-PREFIX = "skylarkcleat_"
 SECONDS_BUCKETS = (
     0.005,
     0.01,
@@ -41,7 +39,7 @@
 
     def __init__(
         self,
-        registry: aioprometheus.Registry,
+        registry: registry_lib.Registry,
         gauges: collections.abc.Iterable[gauge_lib.Gauge],
     ) -> None:
         """Registers every metric; see `create_metrics`."""
@@ -49,33 +47,31 @@
         self._profiles = label.LabelSet()
         self._messages = label.LabelSet(MAX_MESSAGE_TYPES)
         self._gauges = {
-            gauge: aioprometheus.Gauge(
-                PREFIX + gauge.value.name, gauge.value.doc, registry=registry
-            )
+            gauge: registry.add_gauge(gauge.value.name, gauge.value.doc)
             for gauge in gauges
         }
-        self._outcomes = self._add_counter(
+        self._outcomes = registry.add_counter(
             "outcomes_total", "Jobs and requests by profile, ending and cause."
         )
-        self._attempts = self._add_counter(
+        self._attempts = registry.add_counter(
             "attempts_total", "Attempts by profile and result."
         )
-        self._sent = self._add_counter(
+        self._sent = registry.add_counter(
             "messages_sent_total", "Messages between processes by type."
         )
-        self._wasted = self._add_counter(
+        self._wasted = registry.add_counter(
             "messages_wasted_total", "Messages that changed nothing, by type."
         )
-        self._response = self._add_histogram(
+        self._response = registry.add_histogram(
             "response_seconds", "From submission to answer.", SECONDS_BUCKETS
         )
-        self._ratio = self._add_histogram(
+        self._ratio = registry.add_histogram(
             "response_ratio", "Response time over its ideal.", RATIO_BUCKETS
         )
-        self._wait = self._add_histogram(
+        self._wait = registry.add_histogram(
             "task_wait_seconds", "In the agent's queue.", SECONDS_BUCKETS
         )
-        self._run = self._add_histogram(
+        self._run = registry.add_histogram(
             "task_run_seconds", "On the runner.", SECONDS_BUCKETS
         )
 
@@ -163,19 +159,7 @@
         Args:
             accepts: The values of the request's `Accept` headers.
         """
-        return aioprometheus.render(self._registry, list(accepts))
-
-    def _add_counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            PREFIX + name, doc, registry=self._registry
-        )
-
-    def _add_histogram(
-        self, name: str, doc: str, buckets: tuple[float, ...]
-    ) -> aioprometheus.Histogram:
-        return aioprometheus.Histogram(
-            PREFIX + name, doc, registry=self._registry, buckets=buckets
-        )
+        return self._registry.render(accepts)
 
 
 def create_metrics(role: member.Role) -> Metrics:
@@ -185,4 +169,4 @@
         role: Decides which gauges there are.
     """
     gauges = [gauge for gauge in gauge_lib.Gauge if role in gauge.value.roles]
-    return Metrics(aioprometheus.Registry(), gauges)
+    return Metrics(registry_lib.Registry(), gauges)
--- a/src/skylarkcleat/platform/daemon.py
+++ b/src/skylarkcleat/platform/daemon.py
@@ -9,7 +9,6 @@
 
 import eliot
 import uvloop
-from aiohttp import web
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import logs
@@ -28,7 +27,6 @@
     *t.get_args(scheduling.FrontMessage),
     *t.get_args(scheduling.SideMessage),
 )
-_SHUTDOWN_S = 0.1
 
 Serve = t.Callable[
     [settings_lib.Settings, asyncio.Event], t.Coroutine[t.Any, t.Any, None]
@@ -84,31 +82,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def listen(
-    stack: contextlib.AsyncExitStack, address: str, runner: web.BaseRunner
-) -> None:
-    """Serves HTTP on an `ip:port` until the stack closes."""
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    host, port = settings_lib.split_address(address)
-    await web.TCPSite(runner, host, port).start()
-
-
 def create_hub(settings: settings_lib.Settings) -> hub_lib.Hub:
     """Returns the sessions with all other processes."""
     local = session_lib.Endpoint(settings.ip, clock_lib.read_wall_ms())
     bind = f"tcp://{settings.ip}:{settings.port_range[0]}"
     return hub_lib.create_hub(local, bind, MESSAGES, stamper_lib.NullStamper())
-
-
-def create_server_runner(handler: t.Any) -> web.BaseRunner:
-    """Returns what serves a handler; a caller that leaves cancels it."""
-    server = web.Server(handler, access_log=None, handler_cancellation=True)
-    return web.ServerRunner(
-        server, access_log=None, shutdown_timeout=_SHUTDOWN_S
-    )
-
-
-def create_app_runner(app: web.Application) -> web.BaseRunner:
-    """Returns what serves an application."""
-    return web.AppRunner(app, access_log=None, shutdown_timeout=_SHUTDOWN_S)
--- a/src/skylarkcleat/platform/front_daemon.py
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -14,6 +14,7 @@
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import ingress as ingress_lib
+from skylarkcleat.platform import listening
 from skylarkcleat.platform import settings as settings_lib
 
 LOG_LIMITS = limits.Limits(heartbeat_s=0.06, election_s=0.3)
@@ -38,8 +39,8 @@
             (listen.control, ingress.handle_control),
             (listen.ready, ingress.handle_ready),
         ):
-            runner = daemon.create_server_runner(handler)
-            await daemon.listen(stack, address, runner)
+            runner = listening.create_server_runner(handler)
+            await listening.listen(stack, address, runner)
         async with daemon.run_tasks(process.list_tasks(), stopping):
             await process.drain()
 
--- a/src/skylarkcleat/platform/metrics_server.py
+++ b/src/skylarkcleat/platform/metrics_server.py
@@ -10,10 +10,10 @@
 
 from skylarkcleat import logs
 from skylarkcleat.metrics import decisions
+from skylarkcleat.platform import listening
 from skylarkcleat.platform import settings as settings_lib
 
 PATH = "/metrics"
-_SHUTDOWN_S = 0.1
 
 
 @contextlib.asynccontextmanager
@@ -30,13 +30,12 @@
 
     app = web.Application()
     app.router.add_get(PATH, answer)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=_SHUTDOWN_S)
     eliot.add_destinations(metrics)
     try:
-        await runner.setup()
-        port = settings.port_range[1]
-        await web.TCPSite(runner, settings.ip, port).start()
-        yield
+        async with contextlib.AsyncExitStack() as stack:
+            address = f"{settings.ip}:{settings.port_range[1]}"
+            runner = listening.create_app_runner(app)
+            await listening.listen(stack, address, runner)
+            yield
     finally:
         eliot.remove_destination(metrics)
-        await runner.cleanup()
--- a/src/skylarkcleat/platform/side_daemon.py
+++ b/src/skylarkcleat/platform/side_daemon.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from skylarkcleat.platform import daemon
+from skylarkcleat.platform import listening
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
 from skylarkcleat.platform import settings as settings_lib
@@ -23,7 +24,7 @@
         )
         process = side_process.SideProcess(settings, hub, client)
         app = runner_reports.create_reports_app(process)
-        runner = daemon.create_app_runner(app)
-        await daemon.listen(stack, settings.listen.control, runner)
+        runner = listening.create_app_runner(app)
+        await listening.listen(stack, settings.listen.control, runner)
         async with daemon.run_tasks(process.list_tasks(), stopping):
             await process.close()
--- a/src/skylarkcleat/scheduling/active.py
+++ b/src/skylarkcleat/scheduling/active.py
@@ -56,6 +56,10 @@
         self.state = TaskState.PLACED
 
 
+JOB_ENDED = "owner:job-ended"
+"""The type of the log line about a job's end; its `runs` are `RunRecord`s."""
+
+
 class RunRecord(t.NamedTuple):
     """What became of a run, for the log.
 
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -467,7 +467,7 @@
             self._reply(waiter, verdict, detail, retry_after_ms)
         self._stop_runs(job)
         eliot.log_message(
-            "owner:job-ended",
+            active.JOB_ENDED,
             job=job.job.id,
             queue=job.queue.name,
             verdict=verdict.value,
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-JOB_ENDED = "owner:job-ended"
+from skylarkcleat.scheduling import active
+
 FRONT_OWNER = "front:owner"
 WAIT_SHARE = 0.25
 """A job whose first task waited for this share of its objective waited."""
@@ -117,7 +118,7 @@
 
 
 def _find_cause(named: list[Line], was_ownerless: bool) -> Cause:
-    ends = [line.fields for line in named if line.kind == JOB_ENDED]
+    ends = [line.fields for line in named if line.kind == active.JOB_ENDED]
     if not ends:
         return Cause.NO_OWNER if was_ownerless else Cause.NOT_SEEN
     if _ran_twice(ends):
@@ -128,25 +129,25 @@
     return _explain_unserved(ends[-1])
 
 
+def _list_runs(end: dict[str, t.Any]) -> list[active.RunRecord]:
+    return [active.RunRecord(*record) for record in end["runs"]]
+
+
 def _ran_twice(ends: list[dict[str, t.Any]]) -> bool:
-    done = set()
-    for end in ends:
-        for task, run, side, _, event in end["runs"]:
-            if event != "done":
-                continue
-            if any(
-                task == known[0] and known != (task, run, side)
-                for known in done
-            ):
-                return True
-            done.add((task, run, side))
-    return False
+    done = {
+        (record.task, record.run, record.side)
+        for end in ends
+        for record in _list_runs(end)
+        if record.event == "done"
+    }
+    return len(done) > len({task for task, _, _ in done})
 
 
 def _explain_completed(end: dict[str, t.Any], named: list[Line]) -> Cause:
     if end["age_ms"] <= end["objective_ms"]:
         return Cause.ON_TIME
-    events = {record[4] for record in end["runs"]}
+    runs = _list_runs(end)
+    events = {record.event for record in runs}
     kinds = {line.kind for line in named}
     if "failed" in events:
         return Cause.RUN_FAILED
@@ -158,7 +159,7 @@
         return Cause.OWNER_CHANGED
     if events & _REFUSED:
         return Cause.START_REFUSED
-    starts = [record[3] for record in end["runs"] if record[4] == "start"]
+    starts = [record.at_ms for record in runs if record.event == "start"]
     if starts and max(starts) > WAIT_SHARE * end["objective_ms"]:
         return Cause.WAITED_FOR_ROOM
     return Cause.SLOW_RUN
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -8,7 +8,7 @@
 
 def _end_job(queue="q", verdict="completed", age_ms=120):
     return {
-        "message_type": decisions.JOB_ENDED,
+        "message_type": active.JOB_ENDED,
         "queue": queue,
         "verdict": verdict,
         "detail": "" if verdict == "completed" else "no runner has room",
