--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -38,13 +38,14 @@
     return scheduling.Reply(1, verdict)
 
 
-def _play(scene):
+def _play(scene, owner=None, useless_s=0.2):
     async def main():
-        owner = Owner()
-        requests = _create(owner)
-        call = asyncio.create_task(requests.call(_build, 0.3, 0.1, 0.2))
+        target = owner or Owner()
+        requests = _create(target)
+        work = requests.call(_build, 0.3, 0.1, useless_s)
+        call = asyncio.create_task(work)
         await asyncio.sleep(0)
-        await scene(owner, requests)
+        await scene(target, requests)
         return (await call).verdict
 
     return asyncio.run(main())
@@ -123,21 +124,17 @@
 
 @pytest.mark.parametrize("verdict", ["completed", "uncertain", None])
 def test_a_second_owner_is_told_that_its_answer_is_not_waited_for(verdict):
-    async def main():
-        owner = Owner()
-        requests = _create(owner)
-        call = asyncio.create_task(requests.call(_build, 0.3, 0.1, 0.0))
-        await asyncio.sleep(0)
+    async def scene(owner, requests):
         owner.term = 2
         requests.send_again()
         if verdict is None:
             requests.give_up()
         else:
             requests.take_reply(_reply(scheduling.Verdict(verdict)))
-        await call
-        assert owner.sent[-1] == scheduling.Abandon(1)
 
-    asyncio.run(main())
+    owner = Owner()
+    _play(scene, owner, useless_s=0.0)
+    assert owner.sent[-1] == scheduling.Abandon(1)
 
 
 def test_an_owner_that_has_answered_hears_no_more():
