Log which side processes an owner waits for, and say so in refusals

What an owner has yet to hear moves from workers to a module of its own, settling. It logs owner:waiting twice a second and owner:settled once, however the wait ends; before, an owner that outlasted leases logged neither. Jobs refused meanwhile say "the owner waits for side processes" (cause owner-waited of explain), and a gauge owner_waiting_sides follows.

When tasks start does not change.

--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -55,6 +55,10 @@
             "version": registry.add_gauge(
                 "configuration_version", "Version of the configuration."
             ),
+            "waiting": registry.add_gauge(
+                "owner_waiting_sides",
+                "Side processes that the owner here waits for.",
+            ),
         }
 
     def __call__(self, message: dict[str, t.Any]) -> None:
@@ -67,6 +71,11 @@
             self._values["term"].set({}, message["term"])
         elif kind == "owner:ended":
             self._values["term"].set({}, 0)
+            self._values["waiting"].set({}, 0)
+        elif kind == "owner:waiting":
+            self._values["waiting"].set({}, message["sides"])
+        elif kind == "owner:settled":
+            self._values["waiting"].set({}, 0)
         elif kind == "front:configuration":
             self._values["version"].set({}, message["version"])
 
--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -59,6 +59,10 @@
         self.state = TaskState.PLACED
 
 
+NO_ROOM = "no runner has room in time"
+OWNER_WAITS = "the owner waits for side processes"
+"""Why a job was refused, in its log line and its reply."""
+
 JOB_ENDED = "owner:job-ended"
 """The type of the log line about a job's end; its `runs` are `RunRecord`s."""
 
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -106,7 +106,7 @@
 
     def is_settled(self, now: float) -> bool:
         """Returns whether every task that may be running is known here."""
-        return self._workers.is_settled(now)
+        return self._workers.settling.is_settled(now)
 
     def extend(self, sides: t.Iterable[str], now: float) -> None:
         """Takes over the side processes of another owner, in a new term.
@@ -297,6 +297,7 @@
         for worker in self._workers.list_expired(now):
             self._remove_worker(worker, "its lease has expired", now)
         self._workers.expire_unreported(now)
+        self._workers.settling.log_progress(self.workers, now)
         self._end_abandoned(now)
         if now - self._refusals_checked_at >= REFUSAL_INTERVAL_S:
             self._refusals_checked_at = now
@@ -516,13 +517,15 @@
         """Refuses jobs that can't start early enough to be of use."""
         workers = self._workers.list_open(now)
         cores = sum(worker.runner.cpu for worker in workers) / 1000
-        begin_at = max(now, self._workers.settled_at)
+        begin_at = max(now, self._workers.settling.settled_at)
         unservable, wait_s = self._jobs.list_unservable(begin_at, cores)
         for job in unservable:
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
                 verdict = scheduling.Verdict.UNCERTAIN
-            detail = "no runner has room in time"
+            detail = active_job.NO_ROOM
+            if not self.is_settled(now):
+                detail = active_job.OWNER_WAITS
             self._end_job(job, verdict, detail, now, round(wait_s * 1000))
 
     def _adopt_or_stop(
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -10,7 +10,7 @@
 import eliot
 
 from skylarkcleat.protocol import scheduling
-from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import settling as settling_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.wire import session as session_lib
@@ -32,8 +32,7 @@
 
     Attributes:
         by_side: The side processes that hold a lease, by name.
-        settled_at: Until this time side processes that no front has named may
-            run tasks of the previous owner, in seconds.
+        settling: Those that may run tasks of a previous owner.
     """
 
     def __init__(
@@ -43,8 +42,7 @@
         now: float,
     ) -> None:
         self.by_side: dict[str, worker_lib.Worker] = {}
-        self.settled_at = settled_at
-        self._unreported: dict[str, float] = {}
+        self.settling = settling_lib.Settling(settled_at, now)
         self._announced_at: dict[str, float] = {}
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
         self.expect_sides(sides, now)
@@ -59,15 +57,11 @@
         """
         for side in sides:
             self._announced_at[side] = now - QUARANTINE_S
-            self._unreported[side] = lease.find_expiry(now)
-
-    def is_settled(self, now: float) -> bool:
-        """Returns whether every task that may be running is known here."""
-        return not self._unreported and now >= self.settled_at
+            self.settling.expect(side, now)
 
     def list_names(self) -> tuple[str, ...]:
         """Returns the names of all side processes that may run tasks."""
-        return tuple(sorted({*self.by_side, *self._unreported}))
+        return tuple(sorted({*self.by_side, *self.settling.sides}))
 
     def register(
         self,
@@ -100,8 +94,7 @@
     def record_report(self, worker: worker_lib.Worker) -> None:
         """Records that a worker has reported all its runs."""
         worker.phase = worker_lib.Phase.READY
-        if self._unreported.pop(worker.side, None) and not self._unreported:
-            eliot.log_message("owner:settled", reported=worker.side)
+        self.settling.record_report(worker.side)
 
     def remove(
         self, worker: worker_lib.Worker, reason: str, now: float
@@ -124,20 +117,9 @@
         return [worker for worker in workers if now >= worker.expires_at]
 
     def expire_unreported(self, now: float) -> None:
-        """Drops sides whose leases from a previous owner have expired.
-
-        A side process that has registered may still extend the runs of that
-        lease until it has reported, so it is kept.
-        """
-        expired = [
-            side
-            for side, until in self._unreported.items()
-            if now >= until and side not in self.by_side
-        ]
-        for side in expired:
-            del self._unreported[side]
+        """Drops sides whose leases from a previous owner have expired."""
+        for side in self.settling.expire(self.by_side, now):
             self._announced_at.pop(side, None)
-            eliot.log_message("owner:side-unheard", side=side)
 
     def update_factors(self, now: float) -> None:
         """Updates the workers' duration factors."""
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -28,6 +28,7 @@
     START_UNANSWERED = "start-unanswered"
     OWNER_CHANGED = "owner-changed"
     NO_ROOM = "no-room"
+    OWNER_WAITED = "owner-waited"
     CALLER_GONE = "caller-gone"
     RAN_TWICE = "ran-twice"
     NO_OWNER = "no-owner"
@@ -44,6 +45,9 @@
     Cause.START_UNANSWERED: "A runner did not answer the start of a task.",
     Cause.OWNER_CHANGED: "The owner of the jobs changed meanwhile.",
     Cause.NO_ROOM: "It was refused: no runner had room in time.",
+    Cause.OWNER_WAITED: (
+        "It was refused: the owner had not heard all side processes."
+    ),
     Cause.CALLER_GONE: "Its caller had gone before its end.",
     Cause.RAN_TWICE: "A task was done twice.",
     Cause.NO_OWNER: "No owner took it; a front heard none in that time.",
@@ -170,6 +174,8 @@
         return Cause.RUN_FAILED
     if end["detail"].startswith("its caller"):
         return Cause.CALLER_GONE
+    if end["detail"] == active_job.OWNER_WAITS:
+        return Cause.OWNER_WAITED
     if end["verdict"] == "not-run":
         return Cause.NO_ROOM
     return Cause.OWNER_CHANGED
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -58,6 +58,12 @@
     [
         ("owner:begun", {"term": 7}, "skylarkcleat_owner_term 7"),
         ("owner:ended", {"term": 7}, "skylarkcleat_owner_term 0"),
+        (
+            "owner:waiting",
+            {"sides": 19},
+            "skylarkcleat_owner_waiting_sides 19",
+        ),
+        ("owner:settled", {}, "skylarkcleat_owner_waiting_sides 0"),
         (
             "front:configuration",
             {"version": 3},
--- a/tests/test_timeline_captured.py
+++ b/tests/test_timeline_captured.py
@@ -38,6 +38,7 @@
 NO_OWNER = {"message_type": captured.FRONT_OWNER, "owner": "", "term": 0}
 FOUND = NO_OWNER | {"owner": "10.0.0.1", "term": 1}
 NO_ROOM = "no runner has room in time"
+WAITS = "the owner waits for side processes"
 GONE = "its caller has gone"
 
 
@@ -55,6 +56,8 @@
         ([_end(age_ms=190, runs=ADOPTED)], "owner-changed"),
         ([_end(age_ms=300, runs=LATE, was_sent=True)], "owner-changed"),
         ([_end(verdict="not-run", detail=NO_ROOM)], "no-room"),
+        ([_end(verdict="not-run", detail=WAITS)], "owner-waited"),
+        ([_end(verdict="uncertain", detail=WAITS)], "owner-waited"),
         ([_end(verdict="uncertain", detail=GONE)], "caller-gone"),
         ([_end(verdict="uncertain", detail="it yields")], "owner-changed"),
         ([_end(age_ms=95, runs=TWICE)], "ran-twice"),
