Show that service may never return after owners were merged

The model of whole fronts and side processes checked safety only. It now submits jobs to each front 12 s (the users' bound) after the longest fault has ended.

--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -32,6 +32,13 @@
 CALLER_TIMEOUT_S = 3.0
 HEARTBEAT_S = 0.5
 RUNNER_CPU = 8000
+RECOVERY_S = 12.0
+"""The users' bound from the return of the VMs until jobs are served again."""
+START_SPREAD_S = 0.45
+"""How far apart processes start after a power loss."""
+
+LONGEST_FAULT_S = 7.0
+LATE_JOBS = 3
 
 
 class Faults(t.NamedTuple):
@@ -242,6 +249,13 @@
         self._schedule(0.05, self._end, order.task, order.run, stopped)
         return runner_body.Answer(200, "", self._clock())
 
+    def lose_runs(self) -> None:
+        """Ends what runs, without a record that callers could read."""
+        now = self._world.now
+        for task, (run, started_at) in self.runs.items():
+            self._world.runs.append(Run(task, run, self.id, started_at, now))
+        self.runs.clear()
+
     def _schedule_expiry(self) -> None:
         """Ends what runs once the deadline has passed."""
         left_s = (self._deadline - self._clock()) / 1000 / self._drift
@@ -288,6 +302,7 @@
         self.jobs_per_s = jobs_per_s
         self.runs: list[Run] = []
         self.verdicts: dict[str, list[scheduling.Verdict]] = {}
+        self.late_verdicts: list[scheduling.Verdict | None] = []
         self._work_s: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._fronts = [f"front-{n}" for n in range(fronts)]
@@ -304,6 +319,25 @@
 
     async def run_scenario(self) -> None:
         """Runs a phase without faults, one with faults, and one without."""
+        await self._open()
+        callers = asyncio.create_task(self._submit_jobs())
+        await self._inject_faults()
+        recovered_at = self.now + LONGEST_FAULT_S + RECOVERY_S
+        await callers
+        await asyncio.sleep(max(8.0, recovered_at - self.now))
+        await self._submit_late_jobs()
+
+    async def run_power_loss(self) -> None:
+        """Runs a phase without faults until all VMs lose power at once."""
+        await self._open()
+        callers = asyncio.create_task(self._submit_jobs())
+        await asyncio.sleep(self.faults.length_s)
+        self._lose_power()
+        await asyncio.sleep(1.0 + START_SPREAD_S + RECOVERY_S)
+        await callers
+        await self._submit_late_jobs()
+
+    async def _open(self) -> None:
         self.network = Network(self.random)
         self.processes: dict[str, virtual_loop.Process] = {}
         self.fronts: dict[str, front_process.FrontProcess] = {}
@@ -314,10 +348,6 @@
         for name in [*self._fronts, *self._sides]:
             self._start(name)
         await asyncio.sleep(2.0)
-        callers = asyncio.create_task(self._submit_jobs())
-        await self._inject_faults()
-        await callers
-        await asyncio.sleep(8.0)
 
     def _start(self, name: str) -> None:
         process = virtual_loop.Process(name, next(self._numbers))
@@ -364,13 +394,8 @@
         await asyncio.gather(*calls)
 
     async def _submit_until_answered(self) -> None:
-        job_id = f"{next(self._numbers):016x}"
-        work_s = self.random.choice((0.1, 0.4, 1.2, 2.5))
-        self._work_s[job_id] = work_s
-        count = self.random.choice((1, 2, 3))
-        step = scheduling.Step(count, 2000, 64, 0, round(work_s * 1000))
-        job = scheduling.Job(job_id, "spec", (step,))
-        verdicts = self.verdicts[job_id] = []
+        job = self._create_job(self.random.choice((0.1, 0.4, 1.2, 2.5)))
+        verdicts = self.verdicts[job.id] = []
         for _ in range(4):
             verdict = await self._submit_once(job)
             verdicts.append(verdict)
@@ -378,6 +403,23 @@
                 return
             await asyncio.sleep(RESEND_S + self.random.uniform(0.0, 0.1))
 
+    async def _submit_late_jobs(self) -> None:
+        """Submits jobs to each front, long after the last fault."""
+        for name in self._fronts:
+            for _ in range(LATE_JOBS):
+                job = self._create_job(0.1)
+                call = self.processes[name].spawn(
+                    self.fronts[name].submit("h", "/p/", job, 3000)
+                )
+                self.late_verdicts.append((await call).verdict)
+
+    def _create_job(self, work_s: float) -> scheduling.Job:
+        job_id = f"{next(self._numbers):016x}"
+        self._work_s[job_id] = work_s
+        count = self.random.choice((1, 2, 3))
+        step = scheduling.Step(count, 2000, 64, 0, round(work_s * 1000))
+        return scheduling.Job(job_id, "spec", (step,))
+
     async def _submit_once(
         self, job: scheduling.Job
     ) -> scheduling.Verdict | None:
@@ -440,6 +482,17 @@
             if self.random.random() < 0.6:
                 self._restart(name)
 
+    def _lose_power(self) -> None:
+        """Kills everything; runners lose their tasks, too."""
+        for name in self._names:
+            self.processes[name].kill()
+            back_s = 1.0 + self.random.uniform(0.0, START_SPREAD_S)
+            asyncio.get_running_loop().call_later(
+                back_s, self._restart_if_dead, name
+            )
+        for runner in self.runners.values():
+            runner.lose_runs()
+
     def _restart(self, name: str) -> None:
         self.processes[name].kill()
         down_s = self.random.choice((0.3, 0.8, 2.0))
@@ -489,12 +542,25 @@
 ) -> World:
     """Simulates a world in virtual time and returns its records."""
     world = World(seed, faults, **shape)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_scenario())
+    return world
+
+
+def simulate_power_loss(seed: int, monkeypatch: t.Any, **shape: int) -> World:
+    """Simulates a calm phase that ends with the loss of all power."""
+    faults = Faults(gap_s=1e9, unanswered_fraction=0.0, length_s=3.0)
+    world = World(seed, faults, **shape)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_power_loss())
+    return world
+
+
+def _use_virtual_clock(world: World, monkeypatch: t.Any) -> None:
     monkeypatch.setattr(clock_lib, "read_monotonic", lambda: world.now)
     monkeypatch.setattr(
         clock_lib, "read_wall_ms", lambda: round(world.now * 1000)
     )
-    virtual_loop.run(world.run_scenario())
-    return world
 
 
 def list_overlaps(world: World) -> list[tuple[Run, Run]]:
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -8,14 +8,31 @@
 from tests import ownership_world as world_lib
 
 
-@pytest.mark.parametrize("seed", range(24))
-def test_no_task_runs_twice_at_the_same_time(seed, monkeypatch):
-    world = world_lib.simulate(seed, world_lib.Faults(), monkeypatch)
+@pytest.fixture(params=range(24), scope="module")
+def world(request):
+    with pytest.MonkeyPatch.context() as patch:
+        yield world_lib.simulate(request.param, world_lib.Faults(), patch)
+
+
+def test_no_task_runs_twice_at_the_same_time(world):
     assert not world_lib.list_overlaps(world)
     assert not world_lib.list_false_refusals(world)
     assert world_lib.find_peak_cpu(world) <= world_lib.RUNNER_CPU
 
 
+def test_service_returns_after_the_last_fault(world):
+    assert len(world.late_verdicts) == 9
+    assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_service_returns_after_all_power_was_lost(seed, monkeypatch):
+    world = world_lib.simulate_power_loss(seed, monkeypatch, fronts=6, sides=8)
+    assert len(world.late_verdicts) == 18
+    assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
+    assert not world_lib.list_overlaps(world)
+
+
 def test_all_jobs_complete_without_faults(monkeypatch):
     faults = world_lib.Faults(gap_s=1e9, unanswered_fraction=0.0)
     world = world_lib.simulate(1, faults, monkeypatch, jobs_per_s=2)
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -80,6 +80,25 @@
     return scheduling.Ended(epoch, (end,))
 
 
+class _SideStandIn:
+    """A side process that renews its lease, or registers anew if told to."""
+
+    def __init__(self, owner, epoch):
+        self._owner = owner
+        self._epoch = epoch
+        self._peer = session_lib.Endpoint("side-1", 1)
+
+    def renew_until(self, now, end):
+        while now < end:
+            renew = scheduling.Renew(self._epoch, now, None)
+            self._owner.renew(self._peer, renew, now)
+            for refusal in _take_messages(self._owner, scheduling.Unregistered):
+                if refusal.epoch == self._epoch:
+                    self._epoch = _register(self._owner, now=now)
+            self._owner.tick(now)
+            now += lease.RENEW_INTERVAL_S
+
+
 @pytest.fixture
 def owner():
     return _keep_followed(owner_lib.Owner(LOCAL, owner_lib.Predecessor(), 0.0))
@@ -202,6 +221,15 @@
     assert not _take_messages(owner, scheduling.Start, now)
 
 
+def test_a_side_handed_over_by_two_owners_does_not_block_all_starts(owner):
+    """A side process reports once a lease, so it has to be asked again."""
+    side = _SideStandIn(owner, _register(owner))
+    owner.extend(["side-1"], 1.0)
+    owner.submit(FRONT, _submit(), QUEUE, 1.0)
+    side.renew_until(1.0, 3.0)
+    assert len(_take_messages(owner, scheduling.Start, 3.0)) == 1
+
+
 def test_a_new_owner_adopts_runs_reported_before_or_after_the_job():
     for job_first in (True, False):
         owner = _create_successor(["side-1"], 10.0)
