Let a side process that is handed over twice report again

Cause: after a restart, or a cut, several fronts claim the jobs; when they meet, one hands its side processes over to the other. The receiver expected a report from each of them before it started any task. A side process reports once a lease, and one that already held a lease from the receiver kept renewing that: it never reported again, and since it was registered the wait for it never expired either. Class: a wait for an event that nobody is asked for, without a limit.

Ruled out: configuration (there 0.8 s after the start), owners in turns (one from 13.07 s on), a lack of processors (refusals came each 60 ms).

Change: such a worker's lease is outdated. The owner answers its renewals with Unregistered, at once and on each renewal, so that the side process registers and reports under a new lease. A report under the outdated lease does not count: it may have been sent before the side process ran the other's tasks.

Why it works: each outdated worker either renews and is told to register, or does not renew and expires as any other.

The test of the owner alone also has to place tasks between renewals; with that it still fails on the code before.

--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -317,7 +317,10 @@
 
 
 class Unregistered(t.NamedTuple):
-    """Reports an unknown lease: the side process has to register again."""
+    """Reports an unknown or outdated lease.
+
+    The side process has to register again, and then to report its runs.
+    """
 
     epoch: int
 
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -113,7 +113,8 @@
 
         Every front resubmits its open jobs, so their waiters are dropped.
         """
-        self._workers.expect_sides(sides, now)
+        for worker in self._workers.expect_sides(sides, now):
+            self._send(worker.peer, scheduling.Unregistered(worker.epoch))
         self._jobs.drop_waiters(lambda _: True)
 
     def record_heartbeat_reply(
@@ -228,9 +229,9 @@
         message: scheduling.Renew,
         now: float,
     ) -> None:
-        """Renews a lease, or replies that it is unknown."""
+        """Renews a lease, or replies that the side has to register again."""
         worker = self._workers.find(peer.name, message.epoch)
-        if worker is None:
+        if worker is None or worker.phase is worker_lib.Phase.OUTDATED:
             self._send(peer, scheduling.Unregistered(message.epoch))
             return
         worker.granted_at = now
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -15,10 +15,15 @@
 
 
 class Phase(enum.Enum):
-    """Whether a side process has reported its runs and may get tasks."""
+    """Whether a side process has reported its runs and may get tasks.
+
+    `OUTDATED` means that it may have run another owner's tasks since, so that
+    it has to register and report again.
+    """
 
     REPORTING = "reporting"
     READY = "ready"
+    OUTDATED = "outdated"
 
 
 class PlacedRun(t.NamedTuple):
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -49,15 +49,23 @@
 
     def expect_sides(
         self, sides: collections.abc.Iterable[str], now: float
-    ) -> None:
+    ) -> list[worker_lib.Worker]:
         """Adds side processes that may run tasks of a previous owner.
 
-        A side process with a lease from this owner may have had one from the
-        other as well, so it has to report again.
+        Returns:
+            Those that hold a lease from this owner as well. They may have had
+            one from the other owner since they reported, so they have to
+            register again.
         """
+        outdated = []
         for side in sides:
             self._announced_at[side] = now - QUARANTINE_S
             self.settling.expect(side, now)
+            worker = self.by_side.get(side)
+            if worker is not None:
+                worker.phase = worker_lib.Phase.OUTDATED
+                outdated.append(worker)
+        return outdated
 
     def list_names(self) -> tuple[str, ...]:
         """Returns the names of all side processes that may run tasks."""
@@ -93,6 +101,8 @@
 
     def record_report(self, worker: worker_lib.Worker) -> None:
         """Records that a worker has reported all its runs."""
+        if worker.phase is worker_lib.Phase.OUTDATED:
+            return
         worker.phase = worker_lib.Phase.READY
         self.settling.record_report(worker.side)
 
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -96,6 +96,7 @@
                 if refusal.epoch == self._epoch:
                     self._epoch = _register(self._owner, now=now)
             self._owner.tick(now)
+            self._owner.place(now)
             now += lease.RENEW_INTERVAL_S
 
 
@@ -227,7 +228,16 @@
     owner.extend(["side-1"], 1.0)
     owner.submit(FRONT, _submit(), QUEUE, 1.0)
     side.renew_until(1.0, 3.0)
-    assert len(_take_messages(owner, scheduling.Start, 3.0)) == 1
+    assert len(_take_messages(owner, scheduling.Start)) == 1
+
+
+def test_a_report_from_before_a_handover_does_not_count_after_it(owner):
+    epoch = _register(owner)
+    owner.extend(["side-1"], 1.0)
+    owner.handle_report("side-1", scheduling.Report(epoch, (), ()), 1.0)
+    assert not owner.is_settled(1.0)
+    _register(owner, now=1.0)
+    assert owner.is_settled(1.0)
 
 
 def test_a_new_owner_adopts_runs_reported_before_or_after_the_job():
