Order the answers to probes by the runner's clock

Cause: the side process probes its runner on several connections, and answers may overtake each other. A probe from before a start was answered after another one had listed the run; the run was then put down as gone, since only the times at which the probes were sent were compared, and the task began elsewhere. When a later probe listed the run again, it came back with an unknown size, so that the side process refused each start for half a second.

The start got no answer at 2.6201 s; "gone" reached the owner at 2.639 s, although the stop that took effect began only at 2.677 s; refusals with "held" and "room" from 2.643 s on fit a run of unknown size and nothing else; a probe of another start (2.6153 s) was in flight. The order of the answers themselves is not in the log.

Change: an answer whose clock-ms is below that of one already applied changes nothing, and a run that a probe lists can be found missing only by probes that are sent after that answer.

The three new tests failed before (the comparison taken out again on a scratch copy).

--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -147,9 +147,14 @@
 
 
 def create_probe_result(
-    held: HoldAnswer, asked_at: float
+    held: HoldAnswer, asked_at: float, answered_at: float
 ) -> run_table.ProbeResult:
     """Converts an answer to a hold for the table of runs."""
     return run_table.ProbeResult(
-        asked_at, held.born_ms, held.running, held.ends
+        asked_at,
+        answered_at,
+        held.clock_ms,
+        held.born_ms,
+        held.running,
+        held.ends,
     )
--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -32,7 +32,7 @@
         run: The number of the run.
         state: Whether it is known to have started.
         conclusive_at: A probe sent after this time shows whether the run
-            exists; None while a call about it is in progress.
+            exists, in seconds; None while a call about it is in progress.
         stop_at: When to stop it, in seconds; None if it may go on.
         must_end_by: When it must have ended, in seconds; the hold on the
             whole runner isn't extended past this before its end is certain.
@@ -66,8 +66,13 @@
 class ProbeResult(t.NamedTuple):
     """A runner's answer to a probe for its runs.
 
+    The answers to two probes may arrive in another order than the runner gave
+    them in.
+
     Attributes:
         asked_at: When the probe was sent, in seconds.
+        answered_at: When the answer arrived, in seconds.
+        clock_ms: The runner's clock when it answered.
         born_ms: The start time of the runner, which identifies its
             incarnation.
         running: The name and the run number of each task that runs.
@@ -75,6 +80,8 @@
     """
 
     asked_at: float
+    answered_at: float
+    clock_ms: int
     born_ms: int
     running: tuple[tuple[str, int], ...]
     ends: tuple[scheduling.End, ...]
@@ -107,6 +114,7 @@
         self.last_acknowledged = 0
         self.runs: dict[str, LocalRun] = {}
         self._born_ms = 0
+        self._clock_ms = 0
         self._last_reported = 0
         self._previous_expires_at = float("-inf")
         self._stop_unadopted_at = float("-inf")
@@ -233,8 +241,14 @@
         self.adopt(task, run)
 
     def apply_probe(self, result: ProbeResult) -> RunChanges:
-        """Applies a probe's result: adds, confirms and removes runs."""
+        """Applies a probe's result: adds, confirms and removes runs.
+
+        A result that a later one has overtaken changes nothing.
+        """
         self._detect_restart(result.born_ms)
+        if result.clock_ms < self._clock_ms:
+            return RunChanges((), ())
+        self._clock_ms = result.clock_ms
         running = dict(result.running)
         ends = tuple(
             end for end in result.ends if end.number > self.last_acknowledged
@@ -244,7 +258,7 @@
             if known is not None and known.run == end.run:
                 del self.runs[end.task]
         for task, run in running.items():
-            self._confirm_running(task, run, result.asked_at)
+            self._confirm_running(task, run, result.answered_at)
         missing = [
             known
             for known in self.runs.values()
@@ -275,19 +289,20 @@
         if is_restarted:
             self.last_acknowledged = 0
             self._last_reported = 0
+            self._clock_ms = 0
             self.runs.clear()
         return is_restarted
 
-    def _confirm_running(self, task: str, run: int, asked_at: float) -> None:
+    def _confirm_running(self, task: str, run: int, answered_at: float) -> None:
         known = self.runs.get(task)
         if known is None:
             known = self.runs[task] = LocalRun(task, run, None)
-            known.conclusive_at = asked_at
+            known.conclusive_at = answered_at
             known.state = RunState.STARTED
             self._limit_to_previous_lease(known)
         elif known.run == run and known.state is RunState.UNKNOWN:
             known.state = RunState.STARTED
-            known.conclusive_at = asked_at
+            known.conclusive_at = answered_at
 
     def _limit_to_previous_lease(self, known: LocalRun) -> None:
         known.must_end_by = self._previous_expires_at
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -351,7 +351,7 @@
         self._clock.record(answer.clock_ms, self._now())
         self._record_answered_probe()
         changes = self._run_table.apply_probe(
-            runner_body.create_probe_result(answer, asked_at)
+            runner_body.create_probe_result(answer, asked_at, self._now())
         )
         self._stops_changed.set()
         self._report_changes(epoch, changes)
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -7,7 +7,6 @@
 from skylarkcleat.protocol import scheduling
 from tests import ownership_world as world_lib
 
-
 SEEDS = (*range(24), 29)
 """Seed 29: a front once followed a term that no owner announced."""
 
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -13,9 +13,11 @@
     return scheduling.Start(5, task, run, "spec", cpu, 64, 0)
 
 
-def _probe(asked_at, running=(), ends=(), born_ms=7):
+def _probe(asked_at, running=(), ends=(), born_ms=7, answered_at=None):
+    answered_at = asked_at if answered_at is None else answered_at
+    clock_ms = round(answered_at * 1000)
     return run_table_lib.ProbeResult(
-        asked_at, born_ms, tuple(running), tuple(ends)
+        asked_at, answered_at, clock_ms, born_ms, tuple(running), tuple(ends)
     )
 
 
@@ -146,3 +148,37 @@
     assert run_table.list_overdue(6.0 + lease.ADOPTION_GRACE_S)
     run_table.adopt("t", 1)
     assert run_table.find_hold_limit() is None
+
+
+def test_a_probe_that_was_answered_before_the_start_does_not_end_the_run(
+    run_table,
+):
+    """Once two runs of a task began, one on each of two runners."""
+    run_table.admit(_order())
+    before_start = _probe(1.1, answered_at=1.19)
+    run_table.record_unanswered("t", 1, 9.0)
+    confirming = _probe(1.0, running=[("t", 1)], answered_at=1.2)
+    run_table.apply_probe(confirming)
+    assert not run_table.apply_probe(before_start).missing
+    assert "t" in run_table.runs
+
+
+def test_a_probe_in_flight_while_another_confirms_a_run_is_inconclusive(
+    run_table,
+):
+    run_table.admit(_order())
+    run_table.record_unanswered("t", 1, 9.0)
+    confirming = _probe(1.0, running=[("t", 1)], answered_at=1.2)
+    run_table.apply_probe(confirming)
+    same_millisecond = _probe(1.1, answered_at=1.2)
+    assert not run_table.apply_probe(same_millisecond).missing
+    assert run_table.apply_probe(_probe(1.3)).missing
+
+
+def test_an_overtaken_answer_does_not_bring_a_run_back(run_table):
+    run_table.admit(_order(cpu=2000))
+    run_table.record_started("t", 1, 1.0)
+    overtaken = _probe(1.1, running=[("t", 1)], answered_at=1.2)
+    run_table.apply_probe(_probe(1.15, ends=[_end(1)], answered_at=1.3))
+    run_table.apply_probe(overtaken)
+    assert run_table.admit(_order("u")) == ""
