Let an owner begin beside a runner that does not answer

While looking for the same cause elsewhere: one runner that answers no calls and the loss of the owner together ended all service for as long as the runner hung.

Cause: the next owner waits until each side process of the lost one has reported. A side process reports after its runner has answered; with a runner that hangs it registered, renewed its lease and never reported, and since it was registered the wait did not expire. Same class as the merge of owners: a wait for one party without a limit.

Change: a side process whose runner is unresponsive tells a new owner so once everything on the runner has expired (0.87 s after it last extended the hold, which it does not do any more), also if it knows of no run. The owner takes that as its report, with a runner that gets no tasks until it answers.

test_a_runner_that_hangs_does_not_block_the_next_owner failed for each of its four seeds before, with every job refused 3 s after the owner's loss.

--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -293,6 +293,10 @@
         worker = self._workers.find(side, message.epoch)
         if worker is None:
             return
+        # Its side process tells this to the owner that it had then, only.
+        worker.is_unresponsive = True
+        self._workers.record_report(worker)
+        self._jobs.needs_placement = True
         for placed in list(worker.runs.values()):
             worker.remove(placed.task, placed.run)
             self._jobs.requeue_task(placed, side)
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -79,6 +79,7 @@
         self._heartbeat_sequence = 0
         self._missed_probes = 0
         self._is_unresponsive = False
+        self._has_given_up = False
         self._wake = asyncio.Event()
         self._stops_changed = asyncio.Event()
         self._calls: set[asyncio.Task] = set()
@@ -197,6 +198,7 @@
             return
         # A previous process may have extended its runs until just now.
         self._extended_at = self._now()
+        self._has_given_up = False
         self._run_table.begin_lease(
             self._lease.previous_expires_at, self._now()
         )
@@ -409,6 +411,7 @@
 
     def _record_answered_probe(self) -> None:
         self._missed_probes = 0
+        self._has_given_up = False
         if self._is_unresponsive:
             self._is_unresponsive = False
             self._report_responsiveness()
@@ -425,12 +428,20 @@
         self._send_owner(message)
 
     def _give_up_expired_runs(self) -> None:
-        """Gives up an unresponsive runner's runs once they have expired."""
-        if not self._is_unresponsive or not self._run_table.runs:
+        """Gives up an unresponsive runner's runs once they have expired.
+
+        The owner is told even if no run is known: it starts no task anywhere
+        before it has heard each side process of its predecessor.
+        """
+        if not self._is_unresponsive or self._has_given_up:
+            return
+        has_reported = self._reported_epoch == self._lease.epoch
+        if has_reported and not self._run_table.runs:
             return
         if self._now() < lease.find_expiry(self._extended_at):
             return
         eliot.log_message("side:runner-lost", epoch=self._lease.epoch)
+        self._has_given_up = True
         self._run_table.runs.clear()
         self._send_owner(scheduling.RunnerLost(self._lease.epoch))
 
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -34,6 +34,9 @@
 RUNNER_CPU = 8000
 RECOVERY_S = 12.0
 """The users' bound from the return of the VMs until jobs are served again."""
+TAKEOVER_S = 3.0
+"""The users' bound after which a VM counts as in touch again."""
+
 START_SPREAD_S = 0.45
 """How far apart processes start after a power loss."""
 
@@ -56,6 +59,9 @@
     length_s: float = 20.0
 
 
+NO_FAULTS = Faults(gap_s=1e9, unanswered_fraction=0.0, length_s=3.0)
+
+
 class Run(t.NamedTuple):
     """A run of a task, as recorded at its runner."""
 
@@ -337,6 +343,20 @@
         await callers
         await self._submit_late_jobs()
 
+    async def run_owner_loss(self) -> None:
+        """Ends the owner while one runner answers no calls."""
+        await self._open()
+        hung = next(iter(self.runners.values()))
+        hung.unresponsive_until = float("inf")
+        await asyncio.sleep(2.0)
+        self._restart(self._find_owner())
+        await asyncio.sleep(TAKEOVER_S)
+        await self._submit_late_jobs()
+
+    def _find_owner(self) -> str:
+        fronts = self.fronts.items()
+        return next(name for name, front in fronts if front._election.is_owner)
+
     async def _open(self) -> None:
         self.network = Network(self.random)
         self.processes: dict[str, virtual_loop.Process] = {}
@@ -549,13 +569,20 @@
 
 def simulate_power_loss(seed: int, monkeypatch: t.Any, **shape: int) -> World:
     """Simulates a calm phase that ends with the loss of all power."""
-    faults = Faults(gap_s=1e9, unanswered_fraction=0.0, length_s=3.0)
-    world = World(seed, faults, **shape)
+    world = World(seed, NO_FAULTS, **shape)
     _use_virtual_clock(world, monkeypatch)
     virtual_loop.run(world.run_power_loss())
     return world
 
 
+def simulate_owner_loss(seed: int, monkeypatch: t.Any) -> World:
+    """Simulates the loss of the owner while one runner answers no calls."""
+    world = World(seed, NO_FAULTS)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_owner_loss())
+    return world
+
+
 def _use_virtual_clock(world: World, monkeypatch: t.Any) -> None:
     monkeypatch.setattr(clock_lib, "read_monotonic", lambda: world.now)
     monkeypatch.setattr(
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -36,6 +36,13 @@
     assert not world_lib.list_overlaps(world)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_runner_that_hangs_does_not_block_the_next_owner(seed, monkeypatch):
+    world = world_lib.simulate_owner_loss(seed, monkeypatch)
+    assert len(world.late_verdicts) == 9
+    assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
+
+
 def test_all_jobs_complete_without_faults(monkeypatch):
     faults = world_lib.Faults(gap_s=1e9, unanswered_fraction=0.0)
     world = world_lib.simulate(1, faults, monkeypatch, jobs_per_s=2)
