Wait for a predecessor that lived on after the claim

Cause: an owner starts the tasks of jobs that its direct predecessor had without delay, since those are reported or have expired by the time it is settled. That holds for a predecessor that was lost. One that was only cut off from the claimant goes on for the fronts that it reaches; a front that followed it until after the claim handed its job in to the claimant, which began the task 29 ms before its first run had expired.

Change: the delay is left out only if the front last followed the predecessor before this owner had begun (its remaining time says when). A lost predecessor was last followed at least 0.35 s before the claim, so a plain takeover takes no longer; a handover is told by the inherited terms, as before.

--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -19,6 +19,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import follower_leases as follower_leases_lib
 from skylarkcleat.scheduling import job_table as job_table_lib
+from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import placement
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.scheduling import workers as workers_lib
@@ -87,6 +88,7 @@
         )
         self.outbox: list[Outgoing] = []
         self._previous_term = predecessor.term
+        self._begun_at = now
         self._workers = workers_lib.Workers(
             predecessor.sides, predecessor.settled_at, now
         )
@@ -176,12 +178,19 @@
         """Defers a job's tasks while some may run under another owner.
 
         Tasks under this owner's direct predecessor need no delay: they are
-        reported or have expired before this owner starts any task.
+        reported or have expired before this owner starts any task. That does
+        not hold for a front that followed the predecessor after this owner had
+        begun: both were alive then.
         """
-        expires_in_ms = message.earlier_expires_in_ms
-        if message.previous_term != self._previous_term:
-            expires_in_ms = max(expires_in_ms, message.previous_expires_in_ms)
-        job.startable_at = max(job.startable_at, now + expires_in_ms / 1000)
+        expires_at = now + message.earlier_expires_in_ms / 1000
+        previous_expires_at = now + message.previous_expires_in_ms / 1000
+        is_covered = (
+            message.previous_term == self._previous_term
+            and previous_expires_at <= self._begun_at + lease.RUN_EXPIRY_S
+        )
+        if not is_covered:
+            expires_at = max(expires_at, previous_expires_at)
+        job.startable_at = max(job.startable_at, expires_at)
 
     def abandon(self, peer: session_lib.Endpoint, request: int) -> None:
         """Drops a waiter whose caller has disconnected."""
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -26,8 +26,10 @@
     )
 
 
-def _submit(request=1, tasks=1, cpu=1000, was_sent=False, job=ID):
-    step = scheduling.Step(tasks, cpu, 64, 0, 100)
+def _submit(
+    request=1, tasks=1, cpu=1000, was_sent=False, job=ID, estimate_ms=100
+):
+    step = scheduling.Step(tasks, cpu, 64, 0, estimate_ms)
     return scheduling.Submit(
         request,
         "h",
@@ -522,6 +524,22 @@
     assert len(_take_messages(owner, scheduling.Start, 0.52)) == 1
 
 
+@pytest.mark.parametrize(("followed_until", "waits"), [(9.9, 0), (10.4, 1)])
+def test_a_job_waits_for_a_predecessor_that_lived_on(followed_until, waits):
+    """Once a task began twice: its front had followed both owners in turn."""
+    owner = _create_successor([], 10.0)
+    _register(owner, now=10.5)
+    expiry = followed_until + lease.RUN_EXPIRY_S
+    left_ms = round(max(expiry - 10.5, 0.0) * 1000)
+    submit = _submit(was_sent=True, estimate_ms=2000)
+    submit = submit._replace(previous_expires_in_ms=left_ms)
+    owner.submit(FRONT, submit, QUEUE, 10.5)
+    assert len(_take_messages(owner, scheduling.Start, 10.5)) == 1 - waits
+    owner.workers["side-1"].granted_at = expiry
+    owner.tick(expiry + 0.01)
+    assert len(_take_messages(owner, scheduling.Start, expiry + 0.01)) == waits
+
+
 def test_a_task_found_running_twice_starts_again_only_once_both_have_ended():
     owner = _create_successor(["side-1", "side-2"], 0.0)
     first = _request_lease(owner, "side-1", 0.0)
