Name the runs that were lost with a runner

Class: a message about a moment, read as one about now.

Change: RunnerLost names the runs, and counts as the report of its lease: later changes are told one by one. Only as the first report does it cover runs that the side process did not know.

--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -413,9 +413,16 @@
 
 
 class RunnerLost(t.NamedTuple):
-    """Reports an unresponsive runner all of whose runs have expired."""
+    """Reports an unresponsive runner all of whose runs have expired.
+
+    Attributes:
+        epoch: The lease.
+        runs: The runs that the side process knew of. A start that was under
+            way to it is not among them, and is answered by itself.
+    """
 
     epoch: int
+    runs: tuple[Run, ...] = ()
 
 
 LogMessage = PutConfiguration | ReadConfiguration
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -298,17 +298,23 @@
     def handle_runner_lost(
         self, side: str, message: scheduling.RunnerLost
     ) -> None:
-        """Requeues all tasks of an unresponsive runner; they have expired."""
+        """Requeues the tasks of an unresponsive runner; they have expired.
+
+        As the first report under a lease it covers every earlier run there.
+        """
         worker = self._workers.find(side, message.epoch)
         if worker is None:
             return
-        # Its side process tells this to the owner that it had then, only.
+        lost = {(run.task, run.run) for run in message.runs}
+        is_report = worker.phase is worker_lib.Phase.REPORTING
+        for placed in list(worker.runs.values()):
+            if is_report or (placed.task, placed.run) in lost:
+                worker.remove(placed.task, placed.run)
+                self._jobs.requeue_task(placed, side)
+        # Its side process has told this only to the owner that it had then.
         worker.is_unresponsive = True
         self._workers.record_report(worker)
         self._jobs.needs_placement = True
-        for placed in list(worker.runs.values()):
-            worker.remove(placed.task, placed.run)
-            self._jobs.requeue_task(placed, side)
 
     def tick(self, now: float) -> None:
         """Applies timeouts; to be called several times a second."""
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -440,10 +440,13 @@
             return
         if self._now() < lease.find_expiry(self._extended_at):
             return
-        eliot.log_message("side:runner-lost", epoch=self._lease.epoch)
+        epoch = self._lease.epoch
+        runs = self._run_table.list_running()
+        eliot.log_message("side:runner-lost", epoch=epoch, runs=len(runs))
         self._has_given_up = True
+        self._reported_epoch = epoch
         self._run_table.runs.clear()
-        self._send_owner(scheduling.RunnerLost(self._lease.epoch))
+        self._send_owner(scheduling.RunnerLost(epoch, runs))
 
     async def _wait_for(
         self, event: asyncio.Event, timeout_s: float | None
--- a/tests/test_ownership_variants.py
+++ b/tests/test_ownership_variants.py
@@ -60,8 +60,9 @@
 
 def _report_runs_lost_without_waiting(side):
     if side._missed_probes >= 2 and side._run_table.runs:
+        runs = side._run_table.list_running()
         side._run_table.runs.clear()
-        side._send_owner(scheduling.RunnerLost(side._lease.epoch))
+        side._send_owner(scheduling.RunnerLost(side._lease.epoch, runs))
 
 
 def _extend_runs_beyond_the_lease(patch):
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -460,12 +460,37 @@
     )
     _register(owner, "side-2", _runner("i-2"), now=0.1)
     assert not _take_messages(owner, scheduling.Start, 0.1)
-    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch))
+    lost = scheduling.Run(start.task, start.run, 1000, 64, 0)
+    message = scheduling.RunnerLost(epoch, (lost,))
+    owner.handle_runner_lost("side-1", message)
     (again,) = _take_messages(owner, scheduling.Start, 0.2)
     assert again.task == start.task
     assert again.run > start.run
 
 
+def test_a_start_under_way_to_a_lost_runner_is_not_repeated_elsewhere(owner):
+    """Once it was repeated while the side process started it."""
+    epoch = _register(owner)
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    _register(owner, "side-2", _runner("i-2"), now=0.1)
+    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch))
+    assert not _take_messages(owner, scheduling.Start, 0.2)
+    refusal = scheduling.NotStarted(epoch, start.task, start.run, "silent")
+    owner.handle_not_started("side-1", refusal, 0.2)
+    assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
+
+
+def test_a_lost_runner_counts_as_the_first_report_of_a_lease():
+    owner = _create_successor(["side-1"], 10.0)
+    epoch = _request_lease(owner, "side-1", 10.1)
+    assert not owner.is_settled(10.2)
+    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch))
+    assert owner.is_settled(10.2)
+    owner.submit(FRONT, _submit(), QUEUE, 10.2)
+    assert not _take_messages(owner, scheduling.Start, 10.2)
+
+
 def test_a_front_that_was_unresponsive_has_to_resubmit_its_jobs():
     owner = owner_lib.Owner(LOCAL, owner_lib.Predecessor(), 0.0)
     _register(owner)
