Give up an attempt to connect after 0.3 s

Cause: the packet that opens a connection is lost while the peer is dark, and the kernel sends it again after a second, then after two and four. The link replaces its socket after 1.5 s, the log's after 1 s.

Change: each socket that connects gives an attempt 0.3 s; ZeroMQ tries again 0.1 s later. One function opens all such sockets.

--- a/src/skylarkcleat/consensus/links.py
+++ b/src/skylarkcleat/consensus/links.py
@@ -17,6 +17,7 @@
 
 from skylarkcleat.consensus import codec
 from skylarkcleat.consensus import message as message_lib
+from skylarkcleat.wire import dealer
 
 MESSAGE_BYTES = 4 * 1024 * 1024
 """The largest message that a replica sends or receives."""
@@ -81,7 +82,7 @@
     def _open(self) -> None:
         self._opened_at = time.monotonic()
         self._echoed_at = self._opened_at
-        self._socket = self._context.socket(zmq.DEALER)
+        self._socket = dealer.open_dealer(self._context)
         self._socket.setsockopt(zmq.SNDHWM, _QUEUE_MESSAGES)
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.LINGER, 0)
--- a/src/skylarkcleat/directory/reporter.py
+++ b/src/skylarkcleat/directory/reporter.py
@@ -10,6 +10,7 @@
 
 from skylarkcleat.directory import options as options_lib
 from skylarkcleat.protocol import subscribing
+from skylarkcleat.wire import dealer
 
 _SEND_QUEUE_MESSAGES = 16
 
@@ -71,7 +72,7 @@
     def _connect(self, leader: str) -> None:
         self._close()
         self._leader = leader
-        self._socket = self._context.socket(zmq.DEALER)
+        self._socket = dealer.open_dealer(self._context)
         self._socket.set(zmq.LINGER, 0)
         self._socket.set(zmq.SNDHWM, _SEND_QUEUE_MESSAGES)
         self._socket.connect(self._addresses[leader])
--- a/src/skylarkcleat/directory/subscription.py
+++ b/src/skylarkcleat/directory/subscription.py
@@ -19,6 +19,7 @@
 from skylarkcleat.model import member as member_lib
 from skylarkcleat.protocol import subscribing
 from skylarkcleat.protocol import tagged
+from skylarkcleat.wire import dealer
 
 POLL_INTERVAL_S = 0.5
 # A copy older than URGENT_AGE_S is polled for more often, so that its lease is
@@ -204,7 +205,7 @@
     def _connect(self) -> zmq.asyncio.Socket:
         address = self._addresses[self._next % len(self._addresses)]
         self._next += 1
-        socket = self._context.socket(zmq.DEALER)
+        socket = dealer.open_dealer(self._context)
         socket.set(zmq.LINGER, 0)
         socket.set(zmq.SNDHWM, _QUEUE_MESSAGES)
         socket.set(zmq.RCVHWM, _QUEUE_MESSAGES)
--- a/src/skylarkcleat/wire/link.py
+++ b/src/skylarkcleat/wire/link.py
@@ -9,6 +9,7 @@
 import zmq
 import zmq.asyncio
 
+from skylarkcleat.wire import dealer
 from skylarkcleat.wire import frame as frame_lib
 from skylarkcleat.wire import session as session_lib
 
@@ -66,7 +67,7 @@
         self._socket.close(linger=0)
 
     def _connect(self) -> zmq.asyncio.Socket:
-        socket = self._context.socket(zmq.DEALER)
+        socket = dealer.open_dealer(self._context)
         limit_queues(socket)
         socket.connect(self.address)
         return socket
