Split the owner by what it decides

Starting tasks, adopting runs, ends of runs and ends of jobs are modules of their own now, which share one OwnerState; messages go through an Outbox; what is known of the owner before stands in predecessor, a side process's own record of a run in local_run. Refusals are recorded by the worker, skipped run numbers by the job table.

--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -19,7 +19,7 @@
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
-from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.wire import session as session_lib
 
 TICK_S = 0.02
@@ -170,7 +170,7 @@
             election.is_first and now - self._started_at < RESTART_WINDOW_S
         )
         is_settled = is_complete or is_restart
-        predecessor = owner_lib.Predecessor(
+        predecessor = predecessor_lib.Predecessor(
             previous.term,
             received.names if is_complete else (),
             now if is_settled else now + lease.TAKEOVER_WAIT_S,
@@ -187,7 +187,7 @@
         if was_owner:
             self._ownership.extend(term, handover.sides)
         else:
-            predecessor = owner_lib.Predecessor(
+            predecessor = predecessor_lib.Predecessor(
                 handover.term, handover.sides, now, self._list_fronts(now)
             )
             self._ownership.begin(term, predecessor)
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -12,6 +12,7 @@
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.wire import session as session_lib
 
 
@@ -44,7 +45,9 @@
         """The side processes that may run tasks; none without an owner."""
         return self._owner.sides if self._owner else ()
 
-    def begin(self, term: int, predecessor: owner_lib.Predecessor) -> None:
+    def begin(
+        self, term: int, predecessor: predecessor_lib.Predecessor
+    ) -> None:
         """Starts being the owner in a term."""
         now = clock_lib.read_monotonic()
         self.term = term
@@ -107,8 +110,7 @@
         if self._owner is None:
             return
         self._owner.place(clock_lib.read_monotonic())
-        outbox, self._owner.outbox = self._owner.outbox, []
-        for outgoing in outbox:
+        for outgoing in self._owner.outbox.take():
             message = outgoing.message
             if isinstance(message, scheduling.Reply):
                 version = self._configuration_cache.version
--- /dev/null
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -0,0 +1,108 @@
+"""How an owner ends jobs: done, failed, refused or abandoned."""
+
+from __future__ import annotations
+
+import eliot
+
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import job_table as job_table_lib
+from skylarkcleat.scheduling import owner_state
+
+REFUSAL_INTERVAL_S = 0.05
+"""The interval at which jobs that can't start in time are searched for and
+refused."""
+
+
+class JobEndings:
+    """Ends an owner's jobs and answers their callers.
+
+    Args:
+        state: What it shares with the owner's other parts.
+        now: The time, in seconds.
+    """
+
+    def __init__(self, state: owner_state.OwnerState, now: float) -> None:
+        self._state = state
+        self._refusals_checked_at = now
+
+    def end_if_done(self, job: active_job.ActiveJob, now: float) -> bool:
+        """Ends a job that is completed or has failed; returns whether it is."""
+        if job.is_done:
+            self._end(job, scheduling.Verdict.COMPLETED, "", now)
+            return True
+        limit = job.queue.max_attempts
+        if any(task.failures >= limit for task in job.tasks):
+            detail = f"a task failed {limit} times"
+            self._end(job, scheduling.Verdict.FAILED, detail, now)
+            return True
+        return False
+
+    def end_abandoned(self, now: float) -> None:
+        """Ends jobs whose callers have disconnected.
+
+        While another owner may exist they end at once, since their callers
+        may resubmit them there.
+        """
+        jobs = self._state.jobs
+        jobs.record_attended(lambda job: self._state.is_attended(job, now), now)
+        is_disputed = self._state.followers.has_missing_front(now)
+        keep_s = 0.0 if is_disputed else job_table_lib.ABANDONED_RETENTION_S
+        for job in jobs.list_abandoned(now, keep_s):
+            detail = "its caller has gone"
+            self._end(job, scheduling.Verdict.UNCERTAIN, detail, now)
+
+    def refuse_unservable(self, now: float) -> None:
+        """Refuses jobs that can't start early enough to be of use."""
+        if now - self._refusals_checked_at < REFUSAL_INTERVAL_S:
+            return
+        self._refusals_checked_at = now
+        settling = self._state.workers.settling
+        workers = self._state.workers.list_open(now)
+        cores = sum(worker.runner.cpu for worker in workers) / 1000
+        begin_at = max(now, settling.settled_at)
+        unservable, wait_s = self._state.jobs.list_unservable(begin_at, cores)
+        detail = active_job.NO_ROOM
+        if not settling.is_settled(now):
+            detail = active_job.OWNER_WAITS
+        for job in unservable:
+            verdict = scheduling.Verdict.NOT_RUN
+            if job.may_have_run:
+                verdict = scheduling.Verdict.UNCERTAIN
+            self._end(job, verdict, detail, now, round(wait_s * 1000))
+
+    def _end(
+        self,
+        job: active_job.ActiveJob,
+        verdict: scheduling.Verdict,
+        detail: str,
+        now: float,
+        retry_after_ms: int = 0,
+    ) -> None:
+        self._state.jobs.remove(job, verdict)
+        for waiter in job.waiters:
+            self._state.reply(waiter, verdict, detail, retry_after_ms)
+        self._stop_runs(job)
+        eliot.log_message(
+            active_job.JOB_ENDED,
+            job=job.job.id,
+            queue=job.queue.name,
+            verdict=verdict.value,
+            detail=detail,
+            age_ms=round((now - job.submitted_at) * 1000),
+            objective_ms=round(job.objective_s * 1000),
+            may_have_run=job.may_have_run,
+            runs=job.history,
+        )
+
+    def _stop_runs(self, job: active_job.ActiveJob) -> None:
+        names = {
+            task.name
+            for task in job.tasks
+            if task.state is active_job.TaskState.PLACED
+        }
+        for worker in self._state.workers.by_side.values():
+            for name in sorted(names & worker.runs.keys()):
+                run = worker.runs[name].run
+                stop = scheduling.Stop(worker.epoch, name, run)
+                self._state.outbox.send(worker.peer, stop)
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -15,6 +15,10 @@
 ABANDONED_RETENTION_S = 2.5
 """How long a job without a caller is kept; callers resend after 1.3 s."""
 
+SKIPPED_RUNS = 8
+"""How many run numbers are skipped when a runner has already received a number
+at least as large for the task."""
+
 WaiterPredicate = collections.abc.Callable[[active_job.Waiter], bool]
 JobPredicate = collections.abc.Callable[[active_job.ActiveJob], bool]
 
@@ -98,6 +102,12 @@
             task.state = active_job.TaskState.WAITING
             self.queue(job)
 
+    def skip_runs(self, name: str) -> None:
+        """Skips run numbers of a waiting task that its runner has passed."""
+        task = self.find_task(name)
+        if task is not None and task.state is active_job.TaskState.WAITING:
+            task.run += SKIPPED_RUNS
+
     def drop_waiters(self, is_gone: WaiterPredicate) -> None:
         """Drops the waiters whose callers have disconnected."""
         for job in self.active.values():
--- /dev/null
+++ b/src/skylarkcleat/scheduling/run_endings.py
@@ -0,0 +1,110 @@
+"""What the end of a run changes: its task, its job and what was learned."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import job_endings as job_endings_lib
+from skylarkcleat.scheduling import owner_state
+from skylarkcleat.scheduling import placement
+from skylarkcleat.scheduling import worker as worker_lib
+
+
+class RunEndings:
+    """Records the ends of runs that side processes report.
+
+    Args:
+        state: What it shares with the owner's other parts.
+        job_endings: Ends the jobs whose last task is done.
+    """
+
+    def __init__(
+        self,
+        state: owner_state.OwnerState,
+        job_endings: job_endings_lib.JobEndings,
+    ) -> None:
+        self._state = state
+        self._job_endings = job_endings
+
+    def record(
+        self,
+        worker: worker_lib.Worker,
+        ends: collections.abc.Sequence[scheduling.End],
+        now: float,
+    ) -> None:
+        """Records the ends of runs and acknowledges them."""
+        self._state.jobs.needs_placement = True
+        for end in ends:
+            placed = worker.remove(end.task, end.run)
+            self._record_end(worker, end, placed, now)
+        if ends:
+            worker.paused_until = now
+            number = max(end.number for end in ends)
+            acknowledged = scheduling.EndsAcknowledged(worker.epoch, number)
+            self._state.outbox.send(worker.peer, acknowledged)
+
+    def _record_end(
+        self,
+        worker: worker_lib.Worker,
+        end: scheduling.End,
+        placed: worker_lib.PlacedRun | None,
+        now: float,
+    ) -> None:
+        jobs = self._state.jobs
+        jobs.recent.record_run(end.task, end.run)
+        job = jobs.find(end.task)
+        task = job.find_task(end.task) if job else None
+        if end.ending is scheduling.Ending.DONE:
+            jobs.recent.record_done(end.task)
+            if placed is not None and job is not None:
+                self._record_duration(worker, job, placed, now)
+        if task is None:
+            return
+        job.record(end.task, end.run, worker.side, end.ending.value, now)
+        if not _is_current(task, end, worker.side):
+            return
+        if end.ending is scheduling.Ending.DONE:
+            task.state = active_job.TaskState.DONE
+        elif task.state is active_job.TaskState.PLACED:
+            task.state = active_job.TaskState.WAITING
+        else:
+            # The same end was reported and counted before.
+            return
+        jobs.queue(job)
+        if end.ending is scheduling.Ending.FAILED:
+            task.failures += 1
+            task.failed_sides.add(worker.side)
+            worker.speed.record_failure(now)
+        self._job_endings.end_if_done(job, now)
+
+    def _record_duration(
+        self,
+        worker: worker_lib.Worker,
+        job: active_job.ActiveJob,
+        placed: worker_lib.PlacedRun,
+        now: float,
+    ) -> None:
+        worker.speed.failures = 0
+        if placed.expected_s <= 0:
+            return
+        took_s = now - placed.started_at
+        estimates = self._state.jobs.estimates
+        factor = worker.speed.find_factor(now)
+        queue = job.queue.name
+        estimate_ms = placed.step.estimate_ms
+        base_s = estimates.predict_s(queue, estimate_ms)
+        if placement.is_remote(worker, placed.step):
+            took_s /= placement.REMOTE_FACTOR
+        worker.speed.record_duration(took_s, base_s, now)
+        estimates.record_duration(queue, took_s, estimate_ms / 1000 * factor)
+
+
+def _is_current(task: active_job.Task, end: scheduling.End, side: str) -> bool:
+    """Returns whether an end concerns a task's present state."""
+    if (task.run, task.side) == (end.run, side):
+        return True
+    # A run of the previous owner that ended during the takeover.
+    is_done = end.ending is scheduling.Ending.DONE
+    return is_done and task.state is active_job.TaskState.WAITING
--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -7,60 +7,11 @@
 
 from __future__ import annotations
 
-import enum
 import typing as t
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
-
-
-class RunState(enum.Enum):
-    """Whether an ordered run is known to have started."""
-
-    STARTING = "starting"
-    STARTED = "started"
-    UNKNOWN = "unknown"
-
-
-class LocalRun:
-    """A run on the runner.
-
-    Attributes:
-        order: The order; None if a previous side process received it, so that
-            the size of the run is unknown.
-        task: The task's name.
-        run: The number of the run.
-        state: Whether it is known to have started.
-        conclusive_at: A probe sent after this time shows whether the run
-            exists, in seconds; None while a call about it is in progress.
-        stop_at: When to stop it, in seconds; None if it may go on.
-        must_end_by: When it must have ended, in seconds; the hold on the
-            whole runner isn't extended past this before its end is certain.
-            None if it may go on.
-    """
-
-    def __init__(
-        self, task: str, run: int, order: scheduling.Start | None
-    ) -> None:
-        self.task = task
-        self.run = run
-        self.order = order
-        self.state = RunState.STARTING
-        self.conclusive_at: float | None = None
-        self.stop_at: float | None = None
-        self.must_end_by: float | None = None
-
-    def describe(self) -> scheduling.Run:
-        """Returns the run as it is reported to the owner.
-
-        A CPU of -1 means that the size is unknown.
-        """
-        if self.order is None:
-            return scheduling.Run(self.task, self.run, -1, 0, 0)
-        order = self.order
-        return scheduling.Run(
-            self.task, self.run, order.cpu, order.memory_mb, order.gpu
-        )
+from skylarkcleat.scheduling import local_run
 
 
 class ProbeResult(t.NamedTuple):
@@ -96,7 +47,7 @@
     """
 
     ends: tuple[scheduling.End, ...]
-    missing: tuple[LocalRun, ...]
+    missing: tuple[local_run.LocalRun, ...]
 
 
 class RunTable:
@@ -112,7 +63,7 @@
     def __init__(self) -> None:
         self.runner: scheduling.Runner | None = None
         self.last_acknowledged = 0
-        self.runs: dict[str, LocalRun] = {}
+        self.runs: dict[str, local_run.LocalRun] = {}
         self._born_ms = 0
         self._clock_ms = 0
         self._last_reported = 0
@@ -161,7 +112,7 @@
         known.must_end_by = min(known.must_end_by or must_end_by, must_end_by)
         return True
 
-    def list_overdue(self, now: float) -> list[LocalRun]:
+    def list_overdue(self, now: float) -> list[local_run.LocalRun]:
         """Returns the runs whose time to be stopped has come."""
         return [
             known
@@ -208,7 +159,7 @@
             return "old" if known.run >= order.run else "busy"
         if not self._has_room(runner, order):
             return "room"
-        self.runs[order.task] = LocalRun(order.task, order.run, order)
+        self.runs[order.task] = local_run.LocalRun(order.task, order.run, order)
         return ""
 
     def record_started(self, task: str, run: int, now: float) -> None:
@@ -232,7 +183,7 @@
         """
         known = self.runs.get(task)
         if known is not None and known.run == run:
-            known.state = RunState.UNKNOWN
+            known.state = local_run.RunState.UNKNOWN
             known.conclusive_at = expires_at
 
     def record_stopped(self, task: str, run: int, now: float) -> None:
@@ -296,22 +247,22 @@
     def _confirm_running(self, task: str, run: int, answered_at: float) -> None:
         known = self.runs.get(task)
         if known is None:
-            known = self.runs[task] = LocalRun(task, run, None)
+            known = self.runs[task] = local_run.LocalRun(task, run, None)
             known.conclusive_at = answered_at
-            known.state = RunState.STARTED
+            known.state = local_run.RunState.STARTED
             self._limit_to_previous_lease(known)
-        elif known.run == run and known.state is RunState.UNKNOWN:
-            known.state = RunState.STARTED
+        elif known.run == run and known.state is local_run.RunState.UNKNOWN:
+            known.state = local_run.RunState.STARTED
             known.conclusive_at = answered_at
 
-    def _limit_to_previous_lease(self, known: LocalRun) -> None:
+    def _limit_to_previous_lease(self, known: local_run.LocalRun) -> None:
         known.must_end_by = self._previous_expires_at
         known.stop_at = self._stop_unadopted_at
 
     def _set_conclusive(self, task: str, run: int, now: float) -> None:
         known = self.runs.get(task)
         if known is not None and known.run == run:
-            known.state = RunState.STARTED
+            known.state = local_run.RunState.STARTED
             known.conclusive_at = now
 
     def _has_room(
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -13,6 +13,14 @@
 FACTOR_INTERVAL_S = 0.02
 """The interval at which a runner's duration factor is updated."""
 
+NO_FAULT_REASONS = frozenset(("draining", "room", "silent", "held"))
+"""Reasons for a run that didn't start which don't count as failures of its
+runner."""
+
+REFUSAL_PAUSE_S = 0.05
+"""How long a side process that refused a start for such a reason gets no tasks,
+unless a run there ends earlier: the next start would be refused as well."""
+
 
 class Phase(enum.Enum):
     """Whether a side process has reported its runs and may get tasks.
@@ -114,6 +122,13 @@
             return False
         return now < self.granted_at + lease.FRONT_LEASE_S
 
+    def record_refusal(self, reason: str, now: float) -> None:
+        """Records that the side process refused a start."""
+        if reason in NO_FAULT_REASONS:
+            self.paused_until = now + REFUSAL_PAUSE_S
+        else:
+            self.speed.record_failure(now)
+
     def update_factor(self, now: float) -> None:
         """Updates `factor` unless it is recent."""
         if now - self._factor_updated_at < FACTOR_INTERVAL_S:
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -19,6 +19,7 @@
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import local_run
 from skylarkcleat.scheduling import run_table as run_table_lib
 from skylarkcleat.scheduling import side_lease as side_lease_lib
 from skylarkcleat.side import runner_clock
@@ -282,7 +283,7 @@
         known = self._run_table.runs.get(order.task)
         if known is None or known.run != order.run:
             return
-        if known.state is run_table_lib.RunState.UNKNOWN:
+        if known.state is local_run.RunState.UNKNOWN:
             stop = scheduling.Stop(order.epoch, order.task, order.run)
             await self._stop(stop)
             await self._probe(0)
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -15,6 +15,7 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.wire import session as session_lib
 
 FRONT = session_lib.Endpoint("front", 1)
@@ -123,7 +124,7 @@
         self.random = random.Random(load.seed)
         self.outcomes: list[Outcome] = []
         self.runs: list[tuple[float, float, int, str, str]] = []
-        self.owner = owner_lib.Owner(FRONT, owner_lib.Predecessor(), 0.0)
+        self.owner = owner_lib.Owner(FRONT, predecessor_lib.Predecessor(), 0.0)
         self._events: list[tuple[float, int, t.Callable[[float], None]]] = []
         self._count = itertools.count()
         self._requests: dict[int, tuple[JobClass, float, float, int]] = {}
@@ -253,8 +254,7 @@
         self.owner.submit(FRONT, submit, self._queues[kind.name], now)
 
     def _deliver(self, now: float) -> None:
-        outbox, self.owner.outbox = self.owner.outbox, []
-        for outgoing in outbox:
+        for outgoing in self.owner.outbox.take():
             message = outgoing.message
             if isinstance(message, scheduling.Reply):
                 kind, begun, objective_s, width = self._requests.pop(
--- a/tests/test_ownership_variants.py
+++ b/tests/test_ownership_variants.py
@@ -12,6 +12,7 @@
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import run_table as run_table_lib
 from skylarkcleat.scheduling import side_lease as side_lease_lib
+from skylarkcleat.scheduling import starts as starts_lib
 from skylarkcleat.side import process as side_process
 from tests import ownership_world as world_lib
 
@@ -74,7 +75,7 @@
 
 def _start_tasks_that_may_still_run(patch):
     patch.setattr(owner_lib.Owner, "_defer_start", lambda *arguments: None)
-    patch.setattr(owner_lib.Owner, "_is_stopping", lambda self, task: False)
+    patch.setattr(starts_lib.Starts, "_is_stopping", lambda self, task: False)
 
 
 def _claim_while_an_owner_is_alive(patch):
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -9,6 +9,7 @@
 from skylarkcleat.scheduling import job_table
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.wire import session as session_lib
 
 QUEUE = content.Queue("q", "h", "/p/", "desk", 1500, 60, 0, 2, 1.6)
@@ -58,7 +59,7 @@
 
 
 def _create_successor(sides, now, previous_term=1):
-    start = owner_lib.Predecessor(previous_term, tuple(sides), now)
+    start = predecessor_lib.Predecessor(previous_term, tuple(sides), now)
     return _keep_followed(owner_lib.Owner(LOCAL, start, now))
 
 
@@ -72,8 +73,12 @@
 def _take_messages(owner, kind, now=None):
     if now is not None:
         owner.place(now)
-    found = [o.message for o in owner.outbox if isinstance(o.message, kind)]
-    owner.outbox = [o for o in owner.outbox if not isinstance(o.message, kind)]
+    found = []
+    for peer, message in owner.outbox.take():
+        if isinstance(message, kind):
+            found.append(message)
+        else:
+            owner.outbox.send(peer, message)
     return found
 
 
@@ -104,7 +109,9 @@
 
 @pytest.fixture
 def owner():
-    return _keep_followed(owner_lib.Owner(LOCAL, owner_lib.Predecessor(), 0.0))
+    return _keep_followed(
+        owner_lib.Owner(LOCAL, predecessor_lib.Predecessor(), 0.0)
+    )
 
 
 def test_a_job_is_answered_when_all_its_tasks_are_done(owner):
@@ -492,7 +499,7 @@
 
 
 def test_a_front_that_was_unresponsive_has_to_resubmit_its_jobs():
-    owner = owner_lib.Owner(LOCAL, owner_lib.Predecessor(), 0.0)
+    owner = owner_lib.Owner(LOCAL, predecessor_lib.Predecessor(), 0.0)
     _register(owner)
     assert owner.record_heartbeat_reply(FRONT, 0.0, 0.0)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -4,6 +4,7 @@
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import local_run
 from skylarkcleat.scheduling import run_table as run_table_lib
 
 RUNNER = scheduling.Runner("i-1", 7, "desk", 2000, 1024, 0, ("a",), False)
@@ -79,7 +80,7 @@
     run_table.admit(_order())
     run_table.record_unanswered("t", 1, expires_at=2.1)
     run_table.apply_probe(_probe(1.1, running=[("t", 1)]))
-    assert run_table.runs["t"].state is run_table_lib.RunState.STARTED
+    assert run_table.runs["t"].state is local_run.RunState.STARTED
 
 
 def test_after_a_stop_an_unanswered_start_can_be_missing_at_once(run_table):
--- a/tests/test_scheduling_speed.py
+++ b/tests/test_scheduling_speed.py
@@ -5,6 +5,7 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.wire import session as session_lib
@@ -26,7 +27,7 @@
 
 @pytest.mark.parametrize("slower", [0.5, 1.6, 6.0])
 def test_tasks_that_end_together_yield_the_factor_of_the_runner(slower):
-    owner = owner_lib.Owner(LOCAL, owner_lib.Predecessor(), 0.0)
+    owner = owner_lib.Owner(LOCAL, predecessor_lib.Predecessor(), 0.0)
     _register(owner)
     step = scheduling.Step(32, 1000, 64, 0, 100)
     job = scheduling.Job("0" * 16, "spec", (step,))
@@ -35,7 +36,7 @@
     owner.place(0.0)
     starts = [
         order.message
-        for order in owner.outbox
+        for order in owner.outbox.take()
         if isinstance(order.message, scheduling.Start)
     ]
     assert len(starts) == 32
