Hear a runner whose clock started anew

A runner that restarts begins its clock anew; one that does not tell when it was born (the field may be missing) would have been ignored until its clock had caught up, minutes later.

The new test failed before.

--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -13,6 +13,10 @@
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
 
+MAX_OVERTAKEN_MS = 1000
+"""How far a later answer can be ahead, in milliseconds of the runner's clock: a
+probe times out earlier. A clock that is set back further has started anew."""
+
 
 class ProbeResult(t.NamedTuple):
     """A runner's answer to a probe for its runs.
@@ -197,7 +201,7 @@
         A result that a later one has overtaken changes nothing.
         """
         self._detect_restart(result.born_ms)
-        if result.clock_ms < self._clock_ms:
+        if 0 < self._clock_ms - result.clock_ms < MAX_OVERTAKEN_MS:
             return RunChanges((), ())
         self._clock_ms = result.clock_ms
         running = dict(result.running)
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -183,3 +183,11 @@
     run_table.apply_probe(_probe(1.15, ends=[_end(1)], answered_at=1.3))
     run_table.apply_probe(overtaken)
     assert run_table.admit(_order("u")) == ""
+
+
+def test_a_runner_whose_clock_started_anew_is_heard_again(run_table):
+    """Also one that does not tell when it was born."""
+    run_table.apply_probe(_probe(60.0))
+    run_table.admit(_order())
+    early = _probe(61.0, ends=[_end(1)])._replace(clock_ms=20)
+    assert run_table.apply_probe(early).ends
