Split the side process by its three conversations

Registration with the owner, probes of the runner and the owner's orders are modules of their own now, over one SideState that owns the lease, the table of runs and the calls.

--- /dev/null
+++ b/src/skylarkcleat/side/orders.py
@@ -0,0 +1,146 @@
+"""Carries out the owner's orders: starts and stops of tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing as t
+
+import eliot
+
+from skylarkcleat.platform import runner_client
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import local_run
+from skylarkcleat.side import probes as probes_lib
+from skylarkcleat.side import state as state_lib
+
+MIN_HOLD_S = 0.1
+"""A task is refused if its run could be extended for less than this."""
+
+
+class Orders:
+    """Starts and stops tasks on the runner.
+
+    Args:
+        state: What it shares with the side process's other parts.
+        probes: Shows whether a start without an answer took effect.
+        client: Calls the runner.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.SideState,
+        probes: probes_lib.Probes,
+        client: runner_client.RunnerClient,
+    ) -> None:
+        self._state = state
+        self._probes = probes
+        self._client = client
+
+    async def run(self) -> None:
+        """Stops overdue runs, repeatedly until the stop is certain."""
+        state = self._state
+        while True:
+            stop_at = state.run_table.find_next_stop()
+            wait_s = None if stop_at is None else stop_at - state.now()
+            if wait_s is None or wait_s > 0:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(state.stops_changed.wait(), wait_s)
+                state.stops_changed.clear()
+                continue
+            for known in state.run_table.list_overdue(state.now()):
+                epoch = state.lease.epoch
+                stop = scheduling.Stop(epoch, known.task, known.run)
+                state.spawn(self._stop(stop))
+            await asyncio.sleep(lease.STOP_LEAD_S / 2)
+
+    def handle(self, message: t.Any) -> None:
+        """Handles an order under the present lease."""
+        run_table = self._state.run_table
+        if isinstance(message, scheduling.Start):
+            self._handle_start(message)
+        elif isinstance(message, scheduling.Adopt):
+            run_table.adopt(message.task, message.run)
+        elif isinstance(message, scheduling.Stop):
+            self._handle_stop(message)
+        elif isinstance(message, scheduling.EndsAcknowledged):
+            run_table.record_acknowledged(message.number)
+            self._state.wake.set()
+
+    def _handle_start(self, order: scheduling.Start) -> None:
+        if not self._state.lease.is_valid(self._state.now()):
+            return
+        reason = self._find_refusal() or self._state.run_table.admit(order)
+        if reason:
+            self._refuse(order, reason)
+        else:
+            self._state.spawn(self._start(order))
+
+    def _find_refusal(self) -> str:
+        """Returns why no task can start now; empty if one can."""
+        if self._state.is_unresponsive:
+            return "silent"
+        limit = self._state.run_table.find_hold_limit()
+        if limit is not None and limit - self._state.now() < MIN_HOLD_S:
+            return "held"
+        return ""
+
+    def _refuse(self, order: scheduling.Start, reason: str) -> None:
+        eliot.log_message(
+            "side:refused", task=order.task, run=order.run, reason=reason
+        )
+        self._state.send_owner(
+            scheduling.NotStarted(order.epoch, order.task, order.run, reason)
+        )
+
+    async def _start(self, order: scheduling.Start) -> None:
+        state = self._state
+        deadline = state.find_deadline()
+        if deadline is None:
+            state.run_table.record_refused(order.task, order.run)
+            self._refuse(order, "no-clock")
+            return
+        sent_at = state.now()
+        state.extended_at = sent_at
+        answer = await self._client.start(order, deadline, state.runner_id)
+        state.clock.record(answer.clock_ms, state.now())
+        if answer.status == 200:
+            state.run_table.record_started(order.task, order.run, state.now())
+        elif answer.status == runner_client.UNANSWERED:
+            hold_s = state.hold_s * (1 + lease.CLOCK_DRIFT) + 0.05
+            state.run_table.record_unanswered(
+                order.task, order.run, sent_at + hold_s
+            )
+            await self._resolve(order)
+        else:
+            state.run_table.record_refused(order.task, order.run)
+            reason = answer.reason or f"status-{answer.status}"
+            self._refuse(order, reason)
+
+    async def _resolve(self, order: scheduling.Start) -> None:
+        """Stops a task whose start got no answer, unless it is running."""
+        eliot.log_message(
+            "side:start-unanswered", task=order.task, run=order.run
+        )
+        await self._probes.probe(0)
+        known = self._state.run_table.runs.get(order.task)
+        if known is None or known.run != order.run:
+            return
+        if known.state is local_run.RunState.UNKNOWN:
+            stop = scheduling.Stop(order.epoch, order.task, order.run)
+            await self._stop(stop)
+            await self._probes.probe(0)
+
+    def _handle_stop(self, order: scheduling.Stop) -> None:
+        state = self._state
+        if state.run_table.request_stop(order.task, order.run, state.now()):
+            state.stops_changed.set()
+        else:
+            state.spawn(self._stop(order))
+
+    async def _stop(self, order: scheduling.Stop) -> None:
+        state = self._state
+        answer = await self._client.stop(order, state.runner_id)
+        if answer.status == 200:
+            state.run_table.record_stopped(order.task, order.run, state.now())
--- /dev/null
+++ b/src/skylarkcleat/side/probes.py
@@ -0,0 +1,192 @@
+"""Probes the runner for its runs, and tells the owner what changed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import eliot
+
+from skylarkcleat.platform import runner_body
+from skylarkcleat.platform import runner_client
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import run_table as run_table_lib
+from skylarkcleat.side import registration as registration_lib
+from skylarkcleat.side import state as state_lib
+
+PROBE_WAIT_MS = 200
+"""How long a probe of the runner waits for a run to end, in milliseconds."""
+
+RETRY_PAUSE_S = 0.02
+UNACKNOWLEDGED_PAUSE_S = 0.1
+"""How long to wait for the owner to acknowledge ends before the next probe."""
+
+MAX_MISSED_PROBES = 2
+"""After this many unanswered probes a runner counts as unresponsive."""
+
+FENCED_EPOCH_STEP = 60_000
+"""Epochs to skip if the runner has seen a larger fencing token: a previous
+process here may have had a clock that was a minute ahead."""
+
+
+class Probes:
+    """Holds the runs on the runner while the lease is valid.
+
+    Args:
+        state: What it shares with the side process's other parts.
+        registration: Registers anew if the runner refuses the epoch.
+        client: Calls the runner.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.SideState,
+        registration: registration_lib.Registration,
+        client: runner_client.RunnerClient,
+    ) -> None:
+        self._state = state
+        self._registration = registration
+        self._client = client
+        self._reported_epoch = 0
+        self._missed_probes = 0
+        self._has_given_up = False
+
+    async def run(self) -> None:
+        """Probes the runner while there is a lease."""
+        state = self._state
+        while True:
+            state.wake.clear()
+            if not state.lease.is_valid(state.now()):
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            changes = await self.probe(
+                0 if self._missed_probes else PROBE_WAIT_MS
+            )
+            if changes is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                self._give_up_expired_runs()
+            elif state.run_table.has_unacknowledged_ends:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(
+                        state.wake.wait(), UNACKNOWLEDGED_PAUSE_S
+                    )
+
+    def begin_lease(self) -> None:
+        """Reports the runs under a lease that was just granted."""
+        # A previous process may have extended its runs until just now.
+        self._state.extended_at = self._state.now()
+        self._has_given_up = False
+        self._state.spawn(self.probe(0))
+
+    async def probe(self, wait_ms: int) -> run_table_lib.RunChanges | None:
+        """Probes the runner for its runs and reports changes to the owner.
+
+        Args:
+            wait_ms: How long the runner waits for a run to end.
+
+        Returns:
+            The changes; None if there was no answer under the present lease.
+        """
+        state = self._state
+        epoch = state.lease.epoch
+        asked_at = state.now()
+        deadline = None if state.is_unresponsive else state.find_deadline()
+        if deadline is not None:
+            state.extended_at = asked_at
+        answer = await self._client.hold(
+            epoch,
+            state.run_table.last_acknowledged,
+            deadline,
+            wait_ms,
+            state.runner_id,
+        )
+        if epoch != state.lease.epoch:
+            return None
+        if answer == runner_body.FENCED:
+            self._handle_fenced()
+            return None
+        if answer is None:
+            self._record_missed_probe()
+            return None
+        state.clock.record(answer.clock_ms, state.now())
+        self._record_answered_probe()
+        changes = state.run_table.apply_probe(
+            runner_body.create_probe_result(answer, asked_at, state.now())
+        )
+        state.stops_changed.set()
+        self._report_changes(epoch, changes)
+        return changes
+
+    def _handle_fenced(self) -> None:
+        eliot.log_message("side:fenced", epoch=self._state.lease.epoch)
+        self._state.lease.skip_epochs(FENCED_EPOCH_STEP)
+        self._registration.register_with_known_owner()
+
+    def _report_changes(
+        self, epoch: int, changes: run_table_lib.RunChanges
+    ) -> None:
+        send_owner = self._state.send_owner
+        if self._reported_epoch != epoch:
+            self._reported_epoch = epoch
+            running = self._state.run_table.list_running()
+            send_owner(scheduling.Report(epoch, running, changes.ends))
+            return
+        if changes.ends:
+            send_owner(scheduling.Ended(epoch, changes.ends))
+        for known in changes.missing:
+            send_owner(
+                scheduling.NotStarted(epoch, known.task, known.run, "gone")
+            )
+
+    def _record_missed_probe(self) -> None:
+        """Records that a probe got no answer.
+
+        The runs of an unresponsive runner are not extended any more, so that
+        they have certainly ended some time later.
+        """
+        self._missed_probes += 1
+        if (
+            self._missed_probes >= MAX_MISSED_PROBES
+            and not self._state.is_unresponsive
+        ):
+            self._state.is_unresponsive = True
+            self._report_responsiveness()
+
+    def _record_answered_probe(self) -> None:
+        self._missed_probes = 0
+        self._has_given_up = False
+        if self._state.is_unresponsive:
+            self._state.is_unresponsive = False
+            self._report_responsiveness()
+
+    def _report_responsiveness(self) -> None:
+        epoch = self._state.lease.epoch
+        is_unresponsive = self._state.is_unresponsive
+        eliot.log_message(
+            "side:runner-silent", epoch=epoch, is_silent=is_unresponsive
+        )
+        self._state.send_owner(
+            scheduling.RunnerUnresponsive(epoch, is_unresponsive)
+        )
+
+    def _give_up_expired_runs(self) -> None:
+        """Gives up an unresponsive runner's runs once they have expired.
+
+        The owner is told even if no run is known: it starts no task anywhere
+        before it has heard each side process of its predecessor.
+        """
+        state = self._state
+        epoch = state.lease.epoch
+        if not state.is_unresponsive or self._has_given_up:
+            return
+        if self._reported_epoch == epoch and not state.run_table.runs:
+            return
+        if state.now() < lease.find_expiry(state.extended_at):
+            return
+        runs = state.run_table.list_running()
+        eliot.log_message("side:runner-lost", epoch=epoch, runs=len(runs))
+        self._has_given_up = True
+        self._reported_epoch = epoch
+        state.run_table.runs.clear()
+        state.send_owner(scheduling.RunnerLost(epoch, runs))
--- /dev/null
+++ b/src/skylarkcleat/side/state.py
@@ -0,0 +1,100 @@
+"""What the parts of a side process share."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import eliot
+
+from skylarkcleat import clock as clock_lib
+from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.scheduling import run_table as run_table_lib
+from skylarkcleat.scheduling import side_lease as side_lease_lib
+from skylarkcleat.side import runner_clock
+from skylarkcleat.wire import hub as hub_lib
+
+
+class SideState:
+    """The lease, the runs and the runner's clock of one side process.
+
+    Args:
+        settings: The settings of the process.
+        hub: Carries its messages.
+
+    Attributes:
+        hold_s: How far ahead a hold may extend the runner's deadline, in
+            seconds.
+        lease: The lease from an owner.
+        run_table: The runs on the runner.
+        clock: The runner's clock.
+        extended_at: When the runner's deadline may have been extended last, in
+            seconds.
+        is_unresponsive: Whether the runner does not answer.
+        wake: Set when the next probe should not wait any longer.
+        stops_changed: Set when a run may have to be stopped earlier.
+    """
+
+    def __init__(
+        self, settings: settings_lib.Settings, hub: hub_lib.Hub
+    ) -> None:
+        self.hold_s = settings.bounds.max_hold_ms / 1000
+        self.lease = side_lease_lib.SideLease(
+            clock_lib.read_wall_ms(), self.now()
+        )
+        self.run_table = run_table_lib.RunTable()
+        self.clock = runner_clock.RunnerClock()
+        self.extended_at = 0.0
+        self.is_unresponsive = False
+        self.wake = asyncio.Event()
+        self.stops_changed = asyncio.Event()
+        self._hub = hub
+        self._port = settings.port_range[0]
+        self._calls: set[asyncio.Task] = set()
+
+    @property
+    def runner_id(self) -> str:
+        """The id of the runner; empty before it is known."""
+        runner = self.run_table.runner
+        return runner.id if runner else ""
+
+    def now(self) -> float:
+        """Returns the time, in seconds."""
+        return clock_lib.read_monotonic()
+
+    def find_deadline(self) -> int | None:
+        """Returns the deadline for all runs, on the runner's clock."""
+        now = self.now()
+        hold_s = min(self.hold_s, self.lease.find_remaining_s(now))
+        limit = self.run_table.find_hold_limit()
+        if limit is not None:
+            hold_s = min(hold_s, limit - now)
+        return self.clock.find_time(now, max(hold_s, 0.0))
+
+    def send(self, name: str, message: t.NamedTuple) -> None:
+        """Sends a message to a front."""
+        self._hub.send_any(name, f"tcp://{name}:{self._port}", message)
+
+    def send_owner(self, message: t.NamedTuple) -> None:
+        """Sends a message to the owner that granted the lease."""
+        self.send(self.lease.owner.name, message)
+
+    def disconnect_others(self, name: str) -> None:
+        """Closes the connections to all fronts but one."""
+        self._hub.disconnect_others(name)
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        """Runs a call of the runner beside everything else."""
+        task = asyncio.create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._end_call)
+
+    def cancel_calls(self) -> None:
+        """Cancels the calls that were spawned."""
+        for call in list(self._calls):
+            call.cancel()
+
+    def _end_call(self, task: asyncio.Task) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            eliot.log_message("side:call-failed", reason=repr(task.exception()))
--- a/tests/test_ownership_variants.py
+++ b/tests/test_ownership_variants.py
@@ -13,7 +13,8 @@
 from skylarkcleat.scheduling import run_table as run_table_lib
 from skylarkcleat.scheduling import side_lease as side_lease_lib
 from skylarkcleat.scheduling import starts as starts_lib
-from skylarkcleat.side import process as side_process
+from skylarkcleat.side import orders as orders_lib
+from skylarkcleat.side import probes as probes_lib
 from tests import ownership_world as world_lib
 
 MAX_SEEDS = 40
@@ -44,26 +45,27 @@
 
 def _treat_unanswered_starts_as_refused(patch):
     async def resolve(self, order):
-        self._run_table.record_refused(order.task, order.run)
+        self._state.run_table.record_refused(order.task, order.run)
         self._refuse(order, "unanswered")
 
-    patch.setattr(side_process.SideProcess, "_resolve", resolve)
+    patch.setattr(orders_lib.Orders, "_resolve", resolve)
 
 
 def _extend_runs_on_unresponsive_runners(patch):
-    patch.setattr(side_process, "MAX_MISSED_PROBES", 1_000_000)
+    patch.setattr(probes_lib, "MAX_MISSED_PROBES", 1_000_000)
     patch.setattr(
-        side_process.SideProcess,
+        probes_lib.Probes,
         "_give_up_expired_runs",
         _report_runs_lost_without_waiting,
     )
 
 
-def _report_runs_lost_without_waiting(side):
-    if side._missed_probes >= 2 and side._run_table.runs:
-        runs = side._run_table.list_running()
-        side._run_table.runs.clear()
-        side._send_owner(scheduling.RunnerLost(side._lease.epoch, runs))
+def _report_runs_lost_without_waiting(probes):
+    state = probes._state
+    if probes._missed_probes >= 2 and state.run_table.runs:
+        runs = state.run_table.list_running()
+        state.run_table.runs.clear()
+        state.send_owner(scheduling.RunnerLost(state.lease.epoch, runs))
 
 
 def _extend_runs_beyond_the_lease(patch):
