Prefer owners off the disks on grown deployments

What callers saw: while side processes were cut off from the VMs with a disk, and while such a VM was frozen or killed, jobs were late or lost although the owner could have been elsewhere.

Cause: a front counts as strong enough for the jobs only with 100 Mbit/s. The bound had no measurement behind it: starts carry the job's spec, 0.8 KB each, so 1,500 a second take 10 Mbit/s.

Change: 30 Mbit/s suffice.

The new test failed before.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -49,9 +49,9 @@
 """The rank of a front that is about to stop; it never becomes the owner."""
 
 STRONG_CORES = 0.9
-STRONG_LINK_MBPS = 100.0
-"""The cores and the bandwidth that an owner needs for some hundred jobs a
-second."""
+STRONG_LINK_MBPS = 30.0
+"""The cores and the bandwidth that an owner needs for 400 jobs and 1,500 starts
+a second: 0.7 cores and 10 Mbit/s."""
 
 _DISK_RANK = 100
 _WEAK_RANK = 200
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -43,3 +43,12 @@
     assert not _hear(election, sender, 5_000_001, lost_at - 0.01)
     assert _hear(election, sender, 5_000_001, lost_at)
     assert election.followed == (sender, 5_000_001)
+
+
+def test_an_owner_is_a_strong_front_without_a_disk_where_there_is_one():
+    """The users' fronts: of the grown deployments, then of the small ones."""
+    disk = election_lib.find_rank(True, 1.72, 200.0)
+    strong = election_lib.find_rank(False, 1.29, 31.0)
+    weak = election_lib.find_rank(False, 0.516, 12.5)
+    assert strong < disk < weak
+    assert election_lib.find_rank(False, 1.07, 1000.0) < disk
