Say who votes, how many more may be lost, and why a front refuses

The logs could not tell a log that counts a lost replica as a voter from replicas that don't reach each other, and a front that refused a job for lack of a configuration wrote nothing.

- gauges log_has_leader, log_voters, log_silent_voters, log_spare_voters.
- `front:refused` with the job's id when a front ends a request itself; the refusal names what is missing ("no configuration is known") in place of "no owner is known", and `explain` knows the cause no-configuration.

The lines about the leader moved out of the driver into StatusLog. No decision changes.

--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -30,6 +30,7 @@
 from skylarkcleat.consensus import settings as settings_lib
 from skylarkcleat.consensus import state_machine as state_machine_lib
 from skylarkcleat.consensus import status as status_lib
+from skylarkcleat.consensus import status_log as status_log_lib
 
 _Answer = log_lib.Applied | log_lib.NotLeader | log_lib.Uncertain
 
@@ -61,7 +62,6 @@
         self._inbox: asyncio.Queue[event_lib.Event] = asyncio.Queue()
         self._batches: asyncio.Queue[event_lib.Batch] = asyncio.Queue()
         self._pending_calls = pending_calls_lib.PendingCalls()
-        self._logged_leader: tuple[int, str] = (0, "")
         self._tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> LogDriver:
@@ -196,6 +196,7 @@
 
     async def _open(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._settings
+        now = clock_lib.read_monotonic()
         self._storage = stack.enter_context(folder.open_folder(settings))
         self._executor = stack.enter_context(
             concurrent.futures.ThreadPoolExecutor(1)
@@ -206,7 +207,10 @@
             settings.founding and self._storage.may_bootstrap,
             settings.limits,
             self._random,
-            clock_lib.read_monotonic(),
+            now,
+        )
+        self._status_log = status_log_lib.StatusLog(
+            settings.name, self._replica, now
         )
         self._links = links_lib.Links(
             settings.name, settings.bind, settings.peers, self._receive
@@ -282,6 +286,7 @@
             self._replica.receive(event, now)
         elif isinstance(event, event_lib.Tick):
             self._replica.tick(now)
+            self._status_log.record_cluster(now)
         elif isinstance(event, event_lib.Command):
             result = self._replica.propose(event.command, now)
             self._pending_calls.add_proposal(result, self.leader, event.future)
@@ -295,20 +300,9 @@
         else:
             event.future.set_result(self._replica.resign(now))
 
-    def _log_leader(self) -> None:
-        known = (self._replica.context.term, self.leader)
-        if known != self._logged_leader:
-            self._logged_leader = known
-            eliot.log_message(
-                "consensus:leader",
-                replica=self._settings.name,
-                term=known[0],
-                leader=known[1],
-            )
-
     def _process_ready(self) -> None:
         ready = self._replica.take_ready()
-        self._log_leader()
+        self._status_log.record_leader()
         for envelope in ready.immediate:
             self._links.send(envelope)
         if ready.writes or ready.after_sync:
--- a/src/skylarkcleat/consensus/leadership.py
+++ b/src/skylarkcleat/consensus/leadership.py
@@ -7,6 +7,7 @@
 from skylarkcleat.consensus import context as context_lib
 from skylarkcleat.consensus import entry as entry_lib
 from skylarkcleat.consensus import identity as identity_lib
+from skylarkcleat.consensus import margin as margin_lib
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.consensus import progress as progress_lib
 from skylarkcleat.consensus import write as write_lib
@@ -116,6 +117,18 @@
         voters = [v for v in self._others if self.peers[v].answered_at > recent]
         return max(voters, key=lambda v: self.peers[v].match, default=None)
 
+    def find_margin(self, now: float) -> margin_lib.Margin:
+        """Returns how many more voters may be lost."""
+        membership = self._context.membership
+        oldest = now - self._context.limits.silent_s
+        silent = [v for v in self._others if self.peers[v].answered_at < oldest]
+        answering = len(membership.voters) - len(silent)
+        return margin_lib.Margin(
+            len(membership.voters),
+            tuple(sorted(voter.name for voter in silent)),
+            answering - membership.quorum,
+        )
+
     def flush(self) -> None:
         """Sends each follower the entries that it lacks, within its window."""
         writes = self._context.writes
--- a/src/skylarkcleat/consensus/limits.py
+++ b/src/skylarkcleat/consensus/limits.py
@@ -18,6 +18,8 @@
             than another's, as a fraction. A leader without a majority steps
             down after `election_s` less this fraction, and so before its
             followers may vote for another.
+        silent_s: How long a replica may leave its leader without an answer
+            before it counts as lost.
         resend_s: How long a leader waits for a reply before it sends entries
             again.
         announce_s: The interval of an empty replica's announcements.
@@ -44,6 +46,7 @@
     heartbeat_s: float = 0.1
     election_s: float = 0.6
     clock_drift: float = 0.1
+    silent_s: float = 3.0
     resend_s: float = 0.3
     announce_s: float = 0.2
     message_entries: int = 512
--- a/src/skylarkcleat/consensus/replica.py
+++ b/src/skylarkcleat/consensus/replica.py
@@ -16,6 +16,7 @@
 from skylarkcleat.consensus import identity as identity_lib
 from skylarkcleat.consensus import leadership as leadership_lib
 from skylarkcleat.consensus import limits as limits_lib
+from skylarkcleat.consensus import margin as margin_lib
 from skylarkcleat.consensus import membership_changes as membership_changes_lib
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.consensus import pending_reads as pending_reads_lib
@@ -177,6 +178,10 @@
         ]
         return now - max(times, default=now)
 
+    def find_margin(self, now: float) -> margin_lib.Margin | None:
+        """Returns how many more voters may be lost; None without leading."""
+        return self._leadership.find_margin(now) if self._leadership else None
+
     def admit(self, name: str, now: float) -> proposal_lib.ProposalResult:
         """Makes a learner that has caught up a voter."""
         self.context.now = now
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -185,6 +185,7 @@
             timeout_s,
             min(UNSENT_WORK_FRACTION * work_s, timeout_s),
             GIVE_UP_WORK_FACTOR * work_s + GIVE_UP_MIN_S,
+            job.id,
         )
 
     async def query(
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -11,7 +11,10 @@
 import itertools
 import typing as t
 
+import eliot
+
 from skylarkcleat import clock as clock_lib
+from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.protocol import scheduling
 
 
@@ -47,6 +50,10 @@
     def find_term(self) -> int:
         """Returns the current target's term; 0 if none is reachable."""
 
+    @abc.abstractmethod
+    def find_obstacle(self) -> obstacle_lib.Obstacle:
+        """Returns why no target is reachable."""
+
     @abc.abstractmethod
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns the seconds until no run of a previous target is left."""
@@ -60,9 +67,10 @@
     """A request that waits for its reply."""
 
     def __init__(
-        self, build: BuildMessage, now: float, give_up_at: float
+        self, build: BuildMessage, job: str, now: float, give_up_at: float
     ) -> None:
         self.build = build
+        self.job = job
         self.received_at = now
         self.give_up_at = give_up_at
         self.sent_term = 0
@@ -98,6 +106,7 @@
         timeout_s: float,
         unsent_timeout_s: float,
         give_up_after_s: float,
+        job: str = "",
     ) -> scheduling.Reply:
         """Sends a request and waits for the reply.
 
@@ -107,6 +116,7 @@
             unsent_timeout_s: How long to wait for a reachable target.
             give_up_after_s: How long to wait while no target is reachable,
                 in seconds; a later reply would be of no use.
+            job: The id of the job that is requested, for log lines.
 
         Returns:
             The reply. Without one the verdict is `NOT_RUN` if the request
@@ -114,7 +124,7 @@
         """
         number = next(self._numbers)
         now = clock_lib.read_monotonic()
-        request = _OpenRequest(build, now, now + give_up_after_s)
+        request = _OpenRequest(build, job, now, now + give_up_after_s)
         self._open[number] = request
         try:
             self._forward(number, request)
@@ -125,7 +135,7 @@
         finally:
             del self._open[number]
         self._abandon(number, request)
-        return reply or _describe_timeout(number, request)
+        return reply or self._describe_timeout(number, request)
 
     async def _wait(
         self, request: _OpenRequest, timeout_s: float, unsent_timeout_s: float
@@ -183,8 +193,39 @@
     def _end_uncertain(
         self, number: int, request: _OpenRequest, detail: str
     ) -> None:
-        verdict = scheduling.Verdict.UNCERTAIN
-        request.reply.set_result(scheduling.Reply(number, verdict, detail))
+        reply = self._refuse(
+            number, request, scheduling.Verdict.UNCERTAIN, detail
+        )
+        request.reply.set_result(reply)
+
+    def _describe_timeout(
+        self, number: int, request: _OpenRequest
+    ) -> scheduling.Reply:
+        if request.sent_term:
+            verdict = scheduling.Verdict.UNCERTAIN
+            detail = "the owner has not answered in time"
+        else:
+            verdict = scheduling.Verdict.NOT_RUN
+            detail = self._target.find_obstacle().value
+        return self._refuse(number, request, verdict, detail)
+
+    def _refuse(
+        self,
+        number: int,
+        request: _OpenRequest,
+        verdict: scheduling.Verdict,
+        detail: str,
+    ) -> scheduling.Reply:
+        """Returns a reply of this front's own and writes a line about it."""
+        age_s = clock_lib.read_monotonic() - request.received_at
+        eliot.log_message(
+            obstacle_lib.REFUSED,
+            job=request.job,
+            verdict=verdict.value,
+            detail=detail,
+            age_ms=round(age_s * 1000),
+        )
+        return scheduling.Reply(number, verdict, detail)
 
     def _forward(self, number: int, request: _OpenRequest) -> None:
         term = self._target.find_term()
@@ -211,16 +252,6 @@
             request.sent.set_result(None)
 
 
-def _describe_timeout(number: int, request: _OpenRequest) -> scheduling.Reply:
-    if request.sent_term:
-        verdict = scheduling.Verdict.UNCERTAIN
-        detail = "the owner has not answered in time"
-    else:
-        verdict = scheduling.Verdict.NOT_RUN
-        detail = "no owner is known"
-    return scheduling.Reply(number, verdict, detail)
-
-
 def create_numbers() -> t.Iterator[int]:
     """Returns numbers that all requests of one process share."""
     return itertools.count(1)
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -11,6 +11,7 @@
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import log_service as log_service_lib
+from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.protocol import locating
@@ -38,20 +39,23 @@
 
     def find_term(self) -> int:
         """Returns the owner's term; 0 while its queues may be outdated."""
-        election = self._election
-        if not election.has_live_owner(clock_lib.read_monotonic()):
-            return 0
+        return 0 if self.find_obstacle() else self._election.followed.term
+
+    def find_obstacle(self) -> obstacle_lib.Obstacle:
+        """Returns why no job can be sent to an owner."""
+        if not self._election.has_live_owner(clock_lib.read_monotonic()):
+            return obstacle_lib.Obstacle.NO_OWNER
         if not self._configuration_cache.version:
             # After all processes restart, it comes from the leader of the log.
-            return 0
-        owner = election.followed.name
+            return obstacle_lib.Obstacle.NO_CONFIGURATION
+        owner = self._election.followed.name
         has_newest = owner != self._local.name and (
             self._election_task.find_owner_version(owner)
             >= self._configuration_cache.latest_known_version
         )
         if self._configuration_cache.is_behind and not has_newest:
-            return 0
-        return election.followed.term
+            return obstacle_lib.Obstacle.OUTDATED_CONFIGURATION
+        return obstacle_lib.Obstacle.NONE
 
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns the seconds until no run of a previous owner is left."""
@@ -92,6 +96,12 @@
         """Returns the term of the leader that is known; 0 if none is."""
         return self._peers.log.term
 
+    def find_obstacle(self) -> obstacle_lib.Obstacle:
+        """Returns why no request can be sent."""
+        if self._peers.log.term:
+            return obstacle_lib.Obstacle.NONE
+        return obstacle_lib.Obstacle.NO_LEADER
+
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns 0: the order of the log alone decides its entries."""
         del previous_term
--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -16,6 +16,53 @@
 MAX_TYPES = 64
 MAX_REASONS = 32
 
+_GAUGES = {
+    "owner_term": "Term of the owner here.",
+    "owner_waiting_sides": "Side processes that the owner here waits for.",
+    "configuration_version": "Version of the configuration.",
+    "log_has_leader": "1 while this replica of the log knows a leader.",
+    "log_voters": "Voters of the log; 0 on a replica that does not lead.",
+    "log_silent_voters": "Voters that do not answer the leader here.",
+    "log_spare_voters": "Voters that may be lost before the log stops.",
+}
+
+_Reading = t.Callable[[dict[str, t.Any]], float]
+
+
+def _read_zero(message: dict[str, t.Any]) -> float:
+    del message
+    return 0
+
+
+_FOLLOWS: dict[str, _Reading] = {
+    "log_has_leader": lambda message: int(message["leader"] != ""),
+    "log_voters": _read_zero,
+    "log_silent_voters": _read_zero,
+    "log_spare_voters": _read_zero,
+}
+_OWNS: dict[str, _Reading] = {"owner_term": lambda message: message["term"]}
+
+_READINGS: dict[str, dict[str, _Reading]] = {
+    "owner:begun": _OWNS,
+    "owner:extended": _OWNS,
+    "owner:ended": {
+        "owner_term": _read_zero,
+        "owner_waiting_sides": _read_zero,
+    },
+    "owner:waiting": {"owner_waiting_sides": lambda message: message["sides"]},
+    "owner:settled": {"owner_waiting_sides": _read_zero},
+    "front:configuration": {
+        "configuration_version": lambda message: message["version"]
+    },
+    "consensus:leader": _FOLLOWS,
+    "consensus:margin": {
+        "log_voters": lambda message: message["voters"],
+        "log_silent_voters": lambda message: len(message["silent"]),
+        "log_spare_voters": lambda message: message["spare"],
+    },
+}
+"""What a line of each type sets the gauges to."""
+
 
 class DecisionMetrics:
     """Counts what one process decides; an eliot destination.
@@ -50,15 +97,8 @@
             "The same over the job's objective.",
             metrics_lib.RATIO_BUCKETS,
         )
-        self._values = {
-            "term": registry.add_gauge("owner_term", "Term of the owner here."),
-            "version": registry.add_gauge(
-                "configuration_version", "Version of the configuration."
-            ),
-            "waiting": registry.add_gauge(
-                "owner_waiting_sides",
-                "Side processes that the owner here waits for.",
-            ),
+        self._gauges = {
+            name: registry.add_gauge(name, doc) for name, doc in _GAUGES.items()
         }
 
     def __call__(self, message: dict[str, t.Any]) -> None:
@@ -67,17 +107,8 @@
         self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
         if kind == active_job.JOB_ENDED:
             self._count_job(message)
-        elif kind in ("owner:begun", "owner:extended"):
-            self._values["term"].set({}, message["term"])
-        elif kind == "owner:ended":
-            self._values["term"].set({}, 0)
-            self._values["waiting"].set({}, 0)
-        elif kind == "owner:waiting":
-            self._values["waiting"].set({}, message["sides"])
-        elif kind == "owner:settled":
-            self._values["waiting"].set({}, 0)
-        elif kind == "front:configuration":
-            self._values["version"].set({}, message["version"])
+        for gauge, read in _READINGS.get(kind, {}).items():
+            self._gauges[gauge].set({}, read(message))
 
     def render(
         self, accepts: t.Sequence[str], lost: int
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.scheduling import active_job
 
 FRONT_OWNER = "front:owner"
@@ -32,6 +33,7 @@
     CALLER_GONE = "caller-gone"
     RAN_TWICE = "ran-twice"
     NO_OWNER = "no-owner"
+    NO_CONFIGURATION = "no-configuration"
     NOT_SEEN = "not-seen"
 
 
@@ -51,9 +53,18 @@
     Cause.CALLER_GONE: "Its caller had gone before its end.",
     Cause.RAN_TWICE: "A task was done twice.",
     Cause.NO_OWNER: "No owner took it; a front heard none in that time.",
+    Cause.NO_CONFIGURATION: (
+        "It was refused: a front did not know the newest configuration."
+    ),
     Cause.NOT_SEEN: "No line names it: no owner took it.",
 }
 
+_OBSTACLES = {
+    obstacle_lib.Obstacle.NO_OWNER: Cause.NO_OWNER,
+    obstacle_lib.Obstacle.NO_CONFIGURATION: Cause.NO_CONFIGURATION,
+    obstacle_lib.Obstacle.OUTDATED_CONFIGURATION: Cause.NO_CONFIGURATION,
+}
+
 
 class Line(t.NamedTuple):
     """A captured line.
@@ -124,6 +135,10 @@
 def _find_cause(named: list[Line], was_ownerless: bool) -> Cause:
     ends = [line.fields for line in named if line.kind == active_job.JOB_ENDED]
     if not ends:
+        for line in named:
+            if line.kind == obstacle_lib.REFUSED:
+                detail = line.fields["detail"]
+                return _OBSTACLES.get(detail, Cause.OWNER_CHANGED)
         return Cause.NO_OWNER if was_ownerless else Cause.NOT_SEEN
     if _ran_twice(ends):
         return Cause.RAN_TWICE
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,3 +49,12 @@
 def worker_block() -> int:
     """A second byte of loopback addresses that no other test run uses."""
     return 16 + os.getpid() % 200
+
+
+@pytest.fixture
+def log_lines():
+    """The log lines that are written during a test."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    yield lines
+    eliot.remove_destination(lines.append)
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.protocol import scheduling
 
@@ -18,6 +19,11 @@
     def find_term(self):
         return self.term
 
+    def find_obstacle(self):
+        if self.term:
+            return obstacle_lib.Obstacle.NONE
+        return obstacle_lib.Obstacle.NO_OWNER
+
     def find_expiry_s(self, previous_term):
         return 0.5 if previous_term != self.term else 0.0
 
@@ -85,14 +91,19 @@
     assert _run_call(act) is scheduling.Verdict.UNCERTAIN
 
 
-def test_request_that_was_never_sent_is_not_run():
+def test_request_that_was_never_sent_is_not_run(log_lines):
     async def main():
         owner = FakeOwner()
         owner.term = 0
         requests = _create_requests(owner)
-        return await requests.call(_build, 0.3, 0.05, 0.2)
+        return await requests.call(_build, 0.3, 0.05, 0.2, "some-job")
 
     assert asyncio.run(main()).verdict is scheduling.Verdict.NOT_RUN
+    (line,) = (
+        line for line in log_lines if line["message_type"] == "front:refused"
+    )
+    assert line["job"] == "some-job"
+    assert line["detail"] == "no owner is heard"
 
 
 @pytest.mark.parametrize("close", [False, True])
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -5,6 +5,8 @@
 from skylarkcleat.metrics import decisions
 from skylarkcleat.scheduling import active_job
 
+MARGIN = {"voters": 4, "silent": ("c",), "spare": 0}
+
 
 def _end_job(queue="q", verdict="completed", age_ms=120):
     return {
@@ -69,6 +71,12 @@
             {"version": 3},
             "skylarkcleat_configuration_version 3",
         ),
+        ("consensus:leader", {"leader": "a"}, "skylarkcleat_log_has_leader 1"),
+        ("consensus:leader", {"leader": ""}, "skylarkcleat_log_has_leader 0"),
+        ("consensus:leader", {"leader": "a"}, "skylarkcleat_log_voters 0"),
+        ("consensus:margin", MARGIN, "skylarkcleat_log_voters 4"),
+        ("consensus:margin", MARGIN, "skylarkcleat_log_silent_voters 1"),
+        ("consensus:margin", MARGIN, "skylarkcleat_log_spare_voters 0"),
     ],
 )
 def test_shows_the_present_term_and_version(metrics, kind, fields, line):
--- a/tests/test_timeline_captured.py
+++ b/tests/test_timeline_captured.py
@@ -6,6 +6,7 @@
 from typer import testing
 
 from skylarkcleat.cli import program
+from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.timeline import captured
 
@@ -37,6 +38,15 @@
 UNANSWERED = {"message_type": "side:start-unanswered", "task": f"{JOB}.0.0.0"}
 NO_OWNER = {"message_type": captured.FRONT_OWNER, "owner": "", "term": 0}
 FOUND = NO_OWNER | {"owner": "10.0.0.1", "term": 1}
+AT_FRONT = {
+    "message_type": obstacle_lib.REFUSED,
+    "job": JOB,
+    "verdict": "not-run",
+}
+NO_CONFIGURATION = AT_FRONT | {"detail": "no configuration is known"}
+OUTDATED = AT_FRONT | {"detail": "the configuration here is outdated"}
+UNHEARD = AT_FRONT | {"detail": "no owner is heard"}
+UNRESPONSIVE = AT_FRONT | {"detail": "the owner is unresponsive"}
 NO_ROOM = "no runner has room in time"
 WAITS = "the owner waits for side processes"
 GONE = "its caller has gone"
@@ -62,6 +72,10 @@
         ([_end(verdict="uncertain", detail="it yields")], "owner-changed"),
         ([_end(age_ms=95, runs=TWICE)], "ran-twice"),
         ([NO_OWNER], "no-owner"),
+        ([NO_CONFIGURATION], "no-configuration"),
+        ([FOUND, OUTDATED], "no-configuration"),
+        ([UNHEARD], "no-owner"),
+        ([UNRESPONSIVE], "owner-changed"),
         ([FOUND], "not-seen"),
         ([], "not-seen"),
     ],
