--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -204,7 +204,7 @@
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
         for number in range(4):
-            front = self._create_front(number)
+            front = self._create_front(number, number < 3, bootstrap=True)
             self.fronts.append(front)
             stack.callback(front.kill)
         for number in range(2):
@@ -219,22 +219,34 @@
         for process in [*self.fronts, *self.sides]:
             process.start()
 
+    def add_front(self, stack: contextlib.AsyncExitStack) -> int:
+        """Starts a front with an empty disk; returns its number."""
+        number = len(self.fronts)
+        front = self._create_front(number, has_disk=True, bootstrap=False)
+        self.fronts.append(front)
+        stack.callback(front.kill)
+        front.start()
+        return number
+
     def _ip(self, number: int) -> str:
         return f"127.{self._block}.0.{number}"
 
-    def _common(self, ip: str, has_disk: bool) -> str:
+    def _common(self, ip: str, has_disk: bool, bootstrap: bool) -> str:
         port = self._port
         seeds = json.dumps([f"{self._ip(n)}:{port + 3}" for n in (1, 2, 4)])
         return (
             f'node = "{ip}"\nip = "{ip}"\nzone = "z"\n'
             f"port-range = [{port}, {port + 6}]\nseeds = {seeds}\n"
-            f"bootstrap = true\ncounts-as-loss = {str(has_disk).lower()}\n"
+            f"bootstrap = {str(bootstrap).lower()}\n"
+            f"counts-as-loss = {str(has_disk).lower()}\n"
         )
 
-    def _create_front(self, number: int) -> Process:
+    def _create_front(
+        self, number: int, has_disk: bool, bootstrap: bool
+    ) -> Process:
         ip = self._ip(number + 1)
-        text = self._common(ip, number < 3)
-        if number < 3:
+        text = self._common(ip, has_disk, bootstrap)
+        if has_disk:
             data = self.folder / f"data-{number}"
             text += f'data-dir = "{data}"\n'
         port = self._port
@@ -247,7 +259,7 @@
     def _create_side(self, number: int) -> Process:
         ip = self._ip(number + 11)
         port = self._port
-        text = self._common(ip, False)
+        text = self._common(ip, has_disk=False, bootstrap=True)
         text += (
             f'app = "{ip}:{port + 5}"\nservice = "{SERVICE}"\n'
             f'[listen]\ncontrol = "{ip}:{port + 3}"\n'
