Exchange lost voters by one plan, so that the log keeps its margin

Cause: a learner of another name was made a voter at once, beside the voter that it replaces. With no learner left nothing took the lost voter out, ever, so the next loss left two of four votes. The decision stood twice: for a disk of the same name in MembershipChanges, for other names in PeerDiscovery, and the second broke the order that the first one keeps. Class: a wait (for a lost voter) that ends only if something else happens to come along.

Change: MembershipPlan, pure, decides every change from the membership and from who answers: 2 f + 1 voters for f losses that are borne, the other disks stand by; a silent or stopping voter is exchanged for a learner that has caught up, a lost disk removed first; a surplus voter becomes a learner. A replica that stops says so (Leaving), and one that was exchanged while it was dark announces itself again, else each exchange would use a disk up. A voter counts as silent after 2 s in place of 3 s: with an election before it the exchange has to be done within the 4 s that a successor has.

Ruled out: replicas that don't reach each other, lost disks (they heard each other, and both held the newest entry).

--- a/src/skylarkcleat/consensus/codec.py
+++ b/src/skylarkcleat/consensus/codec.py
@@ -23,6 +23,7 @@
     "read-request": message_lib.ReadRequest,
     "read-reply": message_lib.ReadReply,
     "announcement": message_lib.Announcement,
+    "leaving": message_lib.Leaving,
     "founding": message_lib.Bootstrap,
     "campaign": message_lib.Campaign,
 }
--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -119,12 +119,6 @@
         now = clock_lib.read_monotonic()
         return not self._failed.done() and self._replica.is_leading(now)
 
-    def seconds_since_answer(self, name: str) -> float:
-        """Returns the seconds since a replica last answered this leader."""
-        return self._replica.seconds_since_answer(
-            name, clock_lib.read_monotonic()
-        )
-
     def add_peer(self, name: str, address: str) -> None:
         """Adds a replica that was discovered while this one runs.
 
@@ -169,8 +163,8 @@
                 self.leader, f"no majority answered within {timeout} s"
             )
 
-    async def resign(self) -> None:
-        """Transfers the leadership to another replica, if this one leads."""
+    async def leave(self) -> None:
+        """Gives up this replica's vote and leadership, before it stops."""
         if not self._failed.done():
             await self._transfer_leadership()
 
@@ -298,7 +292,7 @@
                 self._replica.confirm(now), event.future
             )
         else:
-            event.future.set_result(self._replica.resign(now))
+            event.future.set_result(self._replica.leave(now))
 
     def _process_ready(self) -> None:
         ready = self._replica.take_ready()
--- a/src/skylarkcleat/consensus/leadership.py
+++ b/src/skylarkcleat/consensus/leadership.py
@@ -117,11 +117,16 @@
         voters = [v for v in self._others if self.peers[v].answered_at > recent]
         return max(voters, key=lambda v: self.peers[v].match, default=None)
 
-    def find_margin(self, now: float) -> margin_lib.Margin:
+    def is_silent(self, replica: identity_lib.Identity) -> bool:
+        """Whether another replica has left this leader without an answer."""
+        context = self._context
+        unanswered_s = context.now - self.peers[replica].answered_at
+        return unanswered_s > context.limits.silent_s
+
+    def find_margin(self) -> margin_lib.Margin:
         """Returns how many more voters may be lost."""
         membership = self._context.membership
-        oldest = now - self._context.limits.silent_s
-        silent = [v for v in self._others if self.peers[v].answered_at < oldest]
+        silent = [voter for voter in self._others if self.is_silent(voter)]
         answering = len(membership.voters) - len(silent)
         return margin_lib.Margin(
             len(membership.voters),
--- a/src/skylarkcleat/consensus/limits.py
+++ b/src/skylarkcleat/consensus/limits.py
@@ -41,12 +41,15 @@
             for followers that lag a little and so need no snapshot.
         learner_lag_entries: How many entries a learner may lack and still
             be made a voter.
+        voters: How many replicas should vote; the others follow as learners.
+            The leader then exchanges voters that are lost. With 0 operators
+            decide who votes.
     """
 
     heartbeat_s: float = 0.1
     election_s: float = 0.6
     clock_drift: float = 0.1
-    silent_s: float = 3.0
+    silent_s: float = 2.0
     resend_s: float = 0.3
     announce_s: float = 0.2
     message_entries: int = 512
@@ -58,3 +61,4 @@
     snapshot_bytes: int = 8 * 1024 * 1024
     trailing_entries: int = 1_000
     learner_lag_entries: int = 100
+    voters: int = 0
--- a/src/skylarkcleat/consensus/membership_changes.py
+++ b/src/skylarkcleat/consensus/membership_changes.py
@@ -10,10 +10,15 @@
 from skylarkcleat.consensus import identity as identity_lib
 from skylarkcleat.consensus import leadership as leadership_lib
 from skylarkcleat.consensus import membership as membership_lib
+from skylarkcleat.consensus import membership_plan as membership_plan_lib
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.consensus import proposal as proposal_lib
 from skylarkcleat.consensus import snapshot as snapshot_lib
 
+REMOVED_ELECTIONS = 2
+"""A replica that hears no leader for this many election timeouts may have been
+removed; an election takes up to two."""
+
 
 class MembershipChanges:
     """A replica's part in changes of the membership.
@@ -21,10 +26,12 @@
     An empty replica announces itself. The initial replica whose name sorts
     first bootstraps a cluster, but only while every other initial replica
     announces that it is empty too and may bootstrap one. Otherwise the
-    leader of the cluster adds it as a learner. Once the learner has caught
-    up, a voter of the same name, whose disk is lost, is removed, and then the
-    learner becomes a voter. Each change concerns one replica, and the changes
-    have this order, so that no majority ever needs the lost disk.
+    leader of the cluster adds it as a learner. Where `Limits.voters` says how
+    many replicas should vote, a replica that was removed announces itself too
+    once no leader contacts it. `MembershipPlan` decides who votes.
+
+    Attributes:
+        last_change: The latest change that this replica made as the leader.
     """
 
     def __init__(
@@ -38,6 +45,9 @@
         self._initial_names = self._names
         self._may_bootstrap = may_bootstrap
         self._announced_at = float("-inf")
+        self._is_leaving = False
+        self._leaving: dict[identity_lib.Identity, float] = {}
+        self.last_change: membership_plan_lib.Change | None = None
         self._empty: dict[str, tuple[identity_lib.Identity, float]] = {}
 
     def add_name(self, name: str) -> None:
@@ -49,28 +59,54 @@
         self._initial_names = frozenset(initial_names)
         self._may_bootstrap = True
 
+    def begin_leaving(self) -> None:
+        """Tells the leader from now on that this replica is about to stop."""
+        self._is_leaving = True
+
     def announce(self, follower: follower_lib.Follower) -> None:
-        """Announces this replica while it is empty, or bootstraps a cluster."""
+        """Announces what the others have to know of this replica."""
         context = self._context
-        due = self._announced_at + context.limits.announce_s
-        if context.snapshot is not None or context.now < due:
+        if context.now < self._announced_at + context.limits.announce_s:
             return
         self._announced_at = context.now
-        if self._may_bootstrap and self._is_bootstrap_due():
+        is_empty = context.snapshot is None
+        if self._is_leaving:
+            self._announce_leaving()
+        elif is_empty and self._may_bootstrap and self._is_bootstrap_due():
             follower.install(self._create_snapshot())
-            return
+        elif is_empty or self._seems_removed():
+            self._announce_presence()
+
+    def _announce_leaving(self) -> None:
+        context = self._context
+        if context.is_voter and context.leader is not None:
+            context.send_now(context.leader, message_lib.Leaving())
+
+    def _announce_presence(self) -> None:
+        context = self._context
+        is_empty = context.snapshot is None
+        message = message_lib.Announcement(self._may_bootstrap and is_empty)
         for name in sorted(self._names - {context.identity.name}):
             receiver = identity_lib.Identity(name, "")
-            message = message_lib.Announcement(self._may_bootstrap)
             context.send_after_sync(receiver, message)
 
+    def _seems_removed(self) -> bool:
+        """Whether no leader contacts this replica, though it has a log."""
+        context = self._context
+        unheard_s = context.now - context.leader_seen_at
+        return (
+            context.limits.voters > 0
+            and context.role is context_lib.Role.FOLLOWER
+            and unheard_s > REMOVED_ELECTIONS * context.limits.election_s
+        )
+
     def handle_announcement(
         self,
         sender: identity_lib.Identity,
         announcement: message_lib.Announcement,
         leadership: leadership_lib.Leadership | None,
     ) -> None:
-        """Handles the announcement of a replica whose disk is empty.
+        """Handles the announcement of a replica that is in no cluster.
 
         An empty replica records it for the bootstrap. A member whose
         snapshot is still the one of the bootstrap sends it to the sender if
@@ -102,25 +138,42 @@
         if context.snapshot is None and context.identity in voters:
             follower.install(bootstrap.snapshot)
 
-    def advance_replacements(
-        self, leadership: leadership_lib.Leadership
-    ) -> None:
-        """Makes the next step of replacing a voter by a learner of its name."""
+    def handle_leaving(self, sender: identity_lib.Identity) -> None:
+        """Records that a replica is about to stop."""
+        now = self._context.now
+        for replica, announced_at in list(self._leaving.items()):
+            if now - announced_at > self._context.limits.silent_s:
+                del self._leaving[replica]
+        self._leaving[sender] = now
+
+    def advance(self, leadership: leadership_lib.Leadership) -> None:
+        """Makes the next change of the membership, if one is due."""
         if not self._may_change(leadership):
             return
-        membership = self._context.membership
-        for learner in membership.learners:
-            if not self._has_caught_up(leadership, learner):
-                continue
-            voter = membership.find_voter(learner.name)
-            if voter is not None:
-                self._append_membership(
-                    leadership, membership.begin_replacement(voter)
-                )
-                return
-            if learner.name in membership.replacing:
-                self._append_membership(leadership, membership.promote(learner))
-                return
+        context = self._context
+        plan = membership_plan_lib.MembershipPlan(
+            context.membership,
+            {r: self._judge(leadership, r) for r in leadership.peers},
+            context.identity,
+        )
+        voters = context.limits.voters
+        change = plan.find_change(voters) if voters else plan.find_repair()
+        if change is not None:
+            self.last_change = change
+            self._append_membership(leadership, change.membership)
+
+    def _judge(
+        self,
+        leadership: leadership_lib.Leadership,
+        replica: identity_lib.Identity,
+    ) -> membership_plan_lib.Standing:
+        context = self._context
+        announced_at = self._leaving.get(replica, float("-inf"))
+        return membership_plan_lib.Standing(
+            leadership.is_silent(replica),
+            context.now - announced_at < context.limits.silent_s,
+            self._has_caught_up(leadership, replica),
+        )
 
     def admit(
         self, leadership: leadership_lib.Leadership, name: str
@@ -199,10 +252,10 @@
     def _has_caught_up(
         self,
         leadership: leadership_lib.Leadership,
-        learner: identity_lib.Identity,
+        replica: identity_lib.Identity,
     ) -> bool:
         context = self._context
-        peer = leadership.peers[learner]
+        peer = leadership.peers[replica]
         lag = context.log.last_index - peer.match
         recent = context.now - peer.answered_at < context.limits.election_s
         caught_up = lag <= context.limits.learner_lag_entries
--- a/src/skylarkcleat/consensus/message.py
+++ b/src/skylarkcleat/consensus/message.py
@@ -156,7 +156,7 @@
 
 
 class Announcement(t.NamedTuple):
-    """Announces that the sender's disk is empty.
+    """Announces that the sender is in no cluster, or was removed from it.
 
     Attributes:
         may_bootstrap: Whether the sender may bootstrap a new cluster.
@@ -165,6 +165,10 @@
     may_bootstrap: bool
 
 
+class Leaving(t.NamedTuple):
+    """Tells the leader that the sender is about to stop."""
+
+
 class Bootstrap(t.NamedTuple):
     """Sends an empty replica the first snapshot of its new cluster."""
 
@@ -194,6 +198,7 @@
     | ReadRequest
     | ReadReply
     | Announcement
+    | Leaving
     | Bootstrap
     | Campaign
 )
--- a/src/skylarkcleat/consensus/replica.py
+++ b/src/skylarkcleat/consensus/replica.py
@@ -18,6 +18,7 @@
 from skylarkcleat.consensus import limits as limits_lib
 from skylarkcleat.consensus import margin as margin_lib
 from skylarkcleat.consensus import membership_changes as membership_changes_lib
+from skylarkcleat.consensus import membership_plan as membership_plan_lib
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.consensus import pending_reads as pending_reads_lib
 from skylarkcleat.consensus import proposal as proposal_lib
@@ -91,7 +92,7 @@
         if now - self._leadership.majority_answered_at() >= self._lease_s:
             self._step_down()
             return
-        self._membership_changes.advance_replacements(self._leadership)
+        self._membership_changes.advance(self._leadership)
 
     def receive(self, envelope: message_lib.Envelope, now: float) -> None:
         """Handles a message; one that is not for this replica is ignored."""
@@ -164,23 +165,15 @@
             return False
         return now - self._leadership.majority_answered_at() < self._lease_s
 
-    def seconds_since_answer(self, name: str, now: float) -> float:
-        """Returns the seconds since a replica last answered this leader.
+    @property
+    def margin(self) -> margin_lib.Margin | None:
+        """How many more voters may be lost; None on one that does not lead."""
+        return self._leadership.find_margin() if self._leadership else None
 
-        It is 0 for a replica that does not lead.
-        """
-        if self._leadership is None:
-            return 0.0
-        times = [
-            peer.answered_at
-            for identity, peer in self._leadership.peers.items()
-            if identity.name == name
-        ]
-        return now - max(times, default=now)
-
-    def find_margin(self, now: float) -> margin_lib.Margin | None:
-        """Returns how many more voters may be lost; None without leading."""
-        return self._leadership.find_margin(now) if self._leadership else None
+    @property
+    def last_change(self) -> membership_plan_lib.Change | None:
+        """The latest change of the membership that this leader began."""
+        return self._membership_changes.last_change
 
     def admit(self, name: str, now: float) -> proposal_lib.ProposalResult:
         """Makes a learner that has caught up a voter."""
@@ -212,6 +205,15 @@
         self.context.send_now(successor, campaign)
         return True
 
+    def leave(self, now: float) -> bool:
+        """Gives up this replica's vote and leadership, before it stops.
+
+        Returns:
+            Whether another voter may lead in its place.
+        """
+        self._membership_changes.begin_leaving()
+        return self.resign(now)
+
     def compact(self, index: int, data: bytes) -> None:
         """Replaces the log up to an applied position by a snapshot.
 
@@ -235,7 +237,7 @@
         if receiver.name != context.identity.name:
             return False
         if isinstance(envelope.message, message_lib.Announcement):
-            return True
+            return envelope.cluster in ("", context.cluster)
         clusters = {envelope.cluster, context.cluster, ""}
         return receiver == context.identity and len(clusters) <= 2
 
@@ -317,6 +319,8 @@
             self._membership_changes.handle_announcement(
                 sender, message, self._leadership
             )
+        elif isinstance(message, message_lib.Leaving):
+            self._membership_changes.handle_leaving(sender)
         elif isinstance(message, message_lib.Bootstrap):
             self._membership_changes.handle_bootstrap(message, self._follower)
         elif isinstance(message, message_lib.Campaign):
--- a/src/skylarkcleat/consensus/status_log.py
+++ b/src/skylarkcleat/consensus/status_log.py
@@ -6,6 +6,7 @@
 
 from skylarkcleat.consensus import margin as margin_lib
 from skylarkcleat.consensus import membership as membership_lib
+from skylarkcleat.consensus import membership_plan as membership_plan_lib
 from skylarkcleat.consensus import replica as replica_lib
 
 LEADERLESS_INTERVAL_S = 5.0
@@ -29,6 +30,7 @@
         self._leader: tuple[int, str] = (0, "")
         self._members: membership_lib.Membership | None = None
         self._margin: margin_lib.Margin | None = None
+        self._change: membership_plan_lib.Change | None = None
         self._leader_known_at = now
         self._leaderless_logged_at = now
 
@@ -48,7 +50,8 @@
     def record_cluster(self, now: float) -> None:
         """Writes the members, the margin and the lack of a leader."""
         self._record_members()
-        self._record_margin(now)
+        self._record_margin()
+        self._record_change()
         self._record_leaderless(now)
 
     def _record_members(self) -> None:
@@ -64,14 +67,26 @@
             votes=context.is_voter,
         )
 
-    def _record_margin(self, now: float) -> None:
-        margin = self._replica.find_margin(now)
+    def _record_margin(self) -> None:
+        margin = self._replica.margin
         if margin == self._margin:
             return
         self._margin = margin
         if margin is not None:
             eliot.log_message("consensus:margin", **margin._asdict())
 
+    def _record_change(self) -> None:
+        change = self._replica.last_change
+        if change is None or change is self._change:
+            return
+        self._change = change
+        eliot.log_message(
+            "consensus:change",
+            replica=change.replica.name,
+            votes=change.replica in change.membership.voters,
+            reason=change.reason.value,
+        )
+
     def _record_leaderless(self, now: float) -> None:
         if self._replica.leader or self._replica.context.snapshot is None:
             self._leader_known_at = self._leaderless_logged_at = now
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -1,4 +1,4 @@
-"""Discovers other fronts, bootstraps the log and repairs its membership."""
+"""Discovers other fronts and bootstraps the log with them."""
 
 from __future__ import annotations
 
@@ -26,9 +26,6 @@
 """How often it queries all other fronts while no owner is reachable."""
 
 TICK_S = 0.04
-REPLICA_TIMEOUT_S = 3.0
-"""A replica that is unresponsive for this long is replaced by a new, empty
-one."""
 
 
 class PeerDiscovery:
@@ -73,7 +70,6 @@
                 self._send_hello(self._choose_targets(now), now)
                 self._bootstrap_log(now)
                 self._connect_replicas(now)
-                await self._repair_membership()
             await asyncio.sleep(TICK_S)
 
     def receive(
@@ -203,26 +199,3 @@
         if name != self._local_name:
             port = self._settings.port_range[0] + 1
             self._log.add_peer(name, f"tcp://{name}:{port}")
-
-    async def _repair_membership(self) -> None:
-        """Promotes learners to voters in place of unresponsive replicas."""
-        log = self._log
-        if log is None or not log.is_leading:
-            return
-        status = log.status
-        for learner in status.learners:
-            if any(voter.name == learner.name for voter in status.voters):
-                continue
-            unresponsive = [
-                voter.name
-                for voter in status.voters
-                if log.seconds_since_answer(voter.name) > REPLICA_TIMEOUT_S
-            ]
-            if unresponsive:
-                eliot.log_message(
-                    "front:replica-replaced",
-                    gone=unresponsive[0],
-                    by=learner.name,
-                )
-                await log.expel(unresponsive[0])
-            await log.admit(learner.name)
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -245,7 +245,7 @@
         eliot.log_message("front:draining", open=len(self._job_requests))
         self._election_task.resign()
         if self._log is not None:
-            await self._log.resign()
+            await self._log.leave()
         begun = clock_lib.read_monotonic()
         limit_s = self._settings.bounds.grace_s * DRAIN_FRACTION
         while True:
--- a/src/skylarkcleat/platform/front_daemon.py
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -10,6 +10,7 @@
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
 from skylarkcleat.consensus import limits
+from skylarkcleat.consensus import membership_plan
 from skylarkcleat.consensus import settings as log_settings
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import daemon
@@ -49,13 +50,14 @@
 def _create_log(
     settings: settings_lib.Settings, store: store_lib.Store
 ) -> driver_lib.LogDriver:
+    voters = membership_plan.count_voters(settings.fault_tolerance.machines)
     return driver_lib.create_replicated_log(
         log_settings.Settings(
             name=settings.ip,
             folder=pathlib.Path(settings.data_dir),
             bind=f"tcp://{settings.ip}:{settings.port_range[0] + 1}",
             is_open=True,
-            limits=LOG_LIMITS,
+            limits=LOG_LIMITS._replace(voters=voters),
         ),
         store,
         random.Random(),
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -41,6 +41,16 @@
     max_hold_ms: int = msgspec.field(name="max-hold-ms", default=1000)
 
 
+class FaultTolerance(msgspec.Struct):
+    """What may be lost at the same time while all guarantees hold.
+
+    Attributes:
+        machines: How many of the VMs with a disk.
+    """
+
+    machines: int = 1
+
+
 class Settings(msgspec.Struct, rename="kebab"):
     """A process's settings; unknown fields are ignored.
 
@@ -56,6 +66,7 @@
         service: The upstream of that runner.
         listen: The addresses that the process serves.
         limits: The resources of the VM.
+        fault_tolerance: What may be lost at the same time.
         bounds: Limits that the infrastructure guarantees.
     """
 
@@ -70,6 +81,9 @@
     service: str = ""
     listen: Listen = msgspec.field(default_factory=Listen)
     limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
+    fault_tolerance: FaultTolerance = msgspec.field(
+        default_factory=FaultTolerance
+    )
     bounds: Bounds = msgspec.field(default_factory=Bounds)
 
 
--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -70,9 +70,10 @@
 class Node:
     """One replica with its disk, and the caller that drives it."""
 
-    def __init__(self, cluster, name):
+    def __init__(self, cluster, name, may_bootstrap=True):
         self.cluster = cluster
         self.name = name
+        self.may_bootstrap = may_bootstrap
         self.frozen = False
         self.replica = None
         self.disk = None
@@ -106,8 +107,8 @@
         self.replica = self.cluster.replica_class(
             self.disk.load(),
             self.cluster.names,
-            True,
-            LIMITS,
+            self.may_bootstrap,
+            self.cluster.limits,
             generator,
             self.cluster.now,
         )
@@ -144,8 +145,9 @@
 class Cluster:
     """The nodes, the messages between them, and what was committed so far."""
 
-    def __init__(self, names, replica_class=replica_lib.Replica):
+    def __init__(self, names, replica_class=replica_lib.Replica, limits=LIMITS):
         self.replica_class = replica_class
+        self.limits = limits
         self.names = set(names)
         self.now = 100.0
         self.network = []
@@ -166,7 +168,9 @@
         del self.network[:-NETWORK_MESSAGES]
 
     def deliver(self, envelope):
-        node = self.nodes[envelope.receiver.name]
+        node = self.nodes.get(envelope.receiver.name)
+        if node is None:
+            return
         own = envelope.sender.name == node.name
         cut = not own and (envelope.sender.name, node.name) in self.cuts
         if cut or not node.is_live:
@@ -280,6 +284,21 @@
         self.nodes[name] = Node(self, name)
         self.nodes[name].start()
 
+    def discover(self, name):
+        """Starts an empty node under a new name, which the others learn."""
+        self.names.add(name)
+        for node in self.nodes.values():
+            if node.replica is not None:
+                node.replica.add_peer(name)
+        self.nodes[name] = Node(self, name, may_bootstrap=False)
+        self.nodes[name].start()
+        return self.nodes[name]
+
+    def remove(self, node):
+        """Takes a node away for good, with its disk."""
+        node.crash()
+        del self.nodes[node.name]
+
     def settle(self):
         """Ends all faults, and expects the cluster to make progress."""
         self.cuts.clear()
