Send a waiting job on once its front has the configuration it lacked

What callers saw: 503 "not run" for jobs that reached a front while a change of the configuration was spreading, with an owner and runners there.

Cause: a front does not send jobs on while it knows of a newer configuration than it has. The jobs wait, but only a change of the owner sent them on; once the configuration had come nobody did, and they ended with their unsent time.

Change: the loop that follows the targets also sends what was never sent, as soon as the target is reachable. Requests that were sent are not sent again by it, so that a refusal stays a refusal.

--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -342,6 +342,8 @@
             if self._peers.log[:2] != known_log[:2]:
                 known_log = self._peers.log
                 self._log_requests.resend()
+            self._job_requests.send_unsent()
+            self._log_requests.send_unsent()
             await asyncio.sleep(TARGET_POLL_S)
 
 
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -95,6 +95,7 @@
         self._target = target
         self._numbers = numbers
         self._open: dict[int, _OpenRequest] = {}
+        self._unsent: set[int] = set()
 
     def __len__(self) -> int:
         """Returns how many requests are open."""
@@ -126,6 +127,7 @@
         now = clock_lib.read_monotonic()
         request = _OpenRequest(build, job, now, now + give_up_after_s)
         self._open[number] = request
+        self._unsent.add(number)
         try:
             self._forward(number, request)
             reply = await self._wait(request, timeout_s, unsent_timeout_s)
@@ -134,6 +136,7 @@
             raise
         finally:
             del self._open[number]
+            self._unsent.discard(number)
         self._abandon(number, request)
         return reply or self._describe_timeout(number, request)
 
@@ -184,6 +187,12 @@
         for number, request in self._open.items():
             self._forward(number, request)
 
+    def send_unsent(self) -> None:
+        """Sends the requests that wait for a target, once one is reachable."""
+        if self._unsent and self._target.find_term():
+            for number in tuple(self._unsent):
+                self._forward(number, self._open[number])
+
     def close(self) -> None:
         """Answers every open request before the process ends."""
         for number, request in self._open.items():
@@ -248,6 +257,7 @@
         if previous_term and previous_term != term:
             request.earlier_terms.add(previous_term)
         request.sent_term = term
+        self._unsent.discard(number)
         if not request.sent.done():
             request.sent.set_result(None)
 
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -377,6 +377,21 @@
         await call
         await asyncio.sleep(LONGEST_FAULT_S)
 
+    async def run_outdated_copy(self) -> None:
+        """Submits a job to a front just before it has the configuration."""
+        await self._open()
+        owner = self._find_owner()
+        front = next(each for each in self._fronts if each != owner)
+        cache = self.fronts[front]._configuration_cache
+        cache.record_version(2)
+        job = self._create_job(0.5)
+        call = self.processes[front].spawn(
+            self.fronts[front].submit("h", "/p/", job, 3000)
+        )
+        await asyncio.sleep(0.05)
+        cache.update(_create_configuration(2))
+        self.late_verdicts.append((await call).verdict)
+
     def _cut(
         self, ones: t.Sequence[str], others: t.Sequence[str], until: float
     ) -> None:
@@ -421,10 +436,7 @@
             process.spawn(self._report(created, self.runners[name]))
         else:
             created = front_process.FrontProcess(settings, hub, None, None)
-            configuration = content.Configuration(
-                1, (QUEUE,), (content.Upstream(UPSTREAM),)
-            )
-            created._configuration_cache.update(configuration)
+            created._configuration_cache.update(_create_configuration(1))
             self.fronts[name] = created
         for task in created.list_tasks():
             process.spawn(task)
@@ -588,6 +600,12 @@
                     self.network.block(one, other, until)
 
 
+def _create_configuration(version: int) -> content.Configuration:
+    return content.Configuration(
+        version, (QUEUE,), (content.Upstream(UPSTREAM),)
+    )
+
+
 def simulate(
     seed: int, faults: Faults, monkeypatch: t.Any, **shape: int
 ) -> World:
@@ -622,6 +640,14 @@
     return world
 
 
+def simulate_outdated_copy(seed: int, monkeypatch: t.Any) -> World:
+    """Simulates a front that learns of a configuration before it has it."""
+    world = World(seed, NO_FAULTS, fronts=3, sides=2)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_outdated_copy())
+    return world
+
+
 def _use_virtual_clock(world: World, monkeypatch: t.Any) -> None:
     monkeypatch.setattr(clock_lib, "read_monotonic", lambda: world.now)
     monkeypatch.setattr(
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -106,6 +106,25 @@
     assert line["detail"] == "no owner is heard"
 
 
+def test_request_is_sent_once_its_target_is_reachable():
+    async def main():
+        owner = FakeOwner()
+        owner.term = 0
+        requests = _create_requests(owner)
+        call = asyncio.create_task(requests.call(_build, 5, 5, 5))
+        await asyncio.sleep(0)
+        requests.send_unsent()
+        assert not owner.sent
+        owner.term = 3
+        requests.send_unsent()
+        requests.send_unsent()
+        assert [message.term for message in owner.sent] == [3]
+        requests.handle_reply(_create_reply(scheduling.Verdict.COMPLETED))
+        return (await call).verdict
+
+    assert asyncio.run(main()) is scheduling.Verdict.COMPLETED
+
+
 @pytest.mark.parametrize("close", [False, True])
 def test_sent_request_without_a_reply_is_uncertain(close):
     async def act(owner, requests):
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -57,3 +57,10 @@
     last = [verdicts[-1] for verdicts in world.verdicts.values()]
     assert set(last) == {scheduling.Verdict.COMPLETED}
     assert len(last) > 20
+
+
+# Nothing sent the job on once the front had the configuration that it lacked.
+@pytest.mark.parametrize("seed", range(4))
+def test_a_job_goes_on_once_its_front_has_the_configuration(seed, monkeypatch):
+    world = world_lib.simulate_outdated_copy(seed, monkeypatch)
+    assert world.late_verdicts == [scheduling.Verdict.COMPLETED]
