Say which side processes get no tasks, and why

- `owner:workers` when the counts change, twice a second at most: how many side processes are open, how many closed by reason.
- a refusal while none is open says "no runner takes tasks"; `explain` knows the cause no-runner; gauges owner_open_sides and owner_closed_sides.

--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -12,6 +12,7 @@
 from skylarkcleat.metrics import metrics as metrics_lib
 from skylarkcleat.metrics import registry as registry_lib
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import workers_log
 
 MAX_TYPES = 64
 MAX_REASONS = 32
@@ -19,6 +20,8 @@
 _GAUGES = {
     "owner_term": "Term of the owner here.",
     "owner_waiting_sides": "Side processes that the owner here waits for.",
+    "owner_open_sides": "Side processes that the owner here may send tasks to.",
+    "owner_closed_sides": "Side processes that it may not send tasks to.",
     "configuration_version": "Version of the configuration.",
     "log_has_leader": "1 while this replica of the log knows a leader.",
     "log_voters": "Voters of the log; 0 on a replica that does not lead.",
@@ -48,6 +51,12 @@
     "owner:ended": {
         "owner_term": _read_zero,
         "owner_waiting_sides": _read_zero,
+        "owner_open_sides": _read_zero,
+        "owner_closed_sides": _read_zero,
+    },
+    workers_log.WORKERS: {
+        "owner_open_sides": lambda message: message["open"],
+        "owner_closed_sides": lambda message: sum(message["closed"].values()),
     },
     "owner:waiting": {"owner_waiting_sides": lambda message: message["sides"]},
     "owner:settled": {"owner_waiting_sides": _read_zero},
--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -60,6 +60,7 @@
 
 
 NO_ROOM = "no runner has room in time"
+NO_RUNNER = "no runner takes tasks"
 OWNER_WAITS = "the owner waits for side processes"
 """Why a job was refused, in its log line and its reply."""
 
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -62,7 +62,7 @@
         cores = sum(worker.runner.cpu for worker in workers) / 1000
         begin_at = max(now, settling.settled_at)
         unservable, wait_s = self._state.jobs.list_unservable(begin_at, cores)
-        detail = active_job.NO_ROOM
+        detail = active_job.NO_ROOM if workers else active_job.NO_RUNNER
         if not settling.is_settled(now):
             detail = active_job.OWNER_WAITS
         for job in unservable:
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -280,6 +280,7 @@
             self._remove_worker(worker, "its lease has expired", now)
         self._workers.expire_unreported(now)
         self._workers.settling.log_progress(self.workers, now)
+        self._workers.log_closed(now)
         self._job_endings.end_abandoned(now)
         self._job_endings.refuse_unservable(now)
 
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -34,6 +34,26 @@
     OUTDATED = "outdated"
 
 
+class Closed(enum.StrEnum):
+    """Why a side process may not be sent tasks."""
+
+    NONE = ""
+    REPORTING = "reporting"
+    OUTDATED = "outdated"
+    NO_RUNNER = "no-runner"
+    DRAINING = "draining"
+    UNRESPONSIVE = "unresponsive"
+    TOO_NEW = "too-new"
+    PAUSED = "paused"
+    LEASE_LATE = "lease-late"
+
+
+_CLOSED_PHASES = {
+    Phase.REPORTING: Closed.REPORTING,
+    Phase.OUTDATED: Closed.OUTDATED,
+}
+
+
 class PlacedRun(t.NamedTuple):
     """A run that was ordered and whose end is not known.
 
@@ -114,13 +134,23 @@
 
     def is_open(self, now: float) -> bool:
         """Returns whether tasks may be sent."""
-        if self.phase is not Phase.READY or self.runner is None:
-            return False
-        if self.runner.draining or self.is_unresponsive:
-            return False
-        if now < max(self.open_at, self.paused_until):
-            return False
-        return now < self.granted_at + lease.FRONT_LEASE_S
+        return self.find_obstacle(now) is Closed.NONE
+
+    def find_obstacle(self, now: float) -> Closed:
+        """Returns why no tasks may be sent."""
+        if self.phase is not Phase.READY:
+            return _CLOSED_PHASES[self.phase]
+        if self.runner is None:
+            return Closed.NO_RUNNER
+        if self.runner.draining:
+            return Closed.DRAINING
+        if self.is_unresponsive:
+            return Closed.UNRESPONSIVE
+        if now >= self.granted_at + lease.FRONT_LEASE_S:
+            return Closed.LEASE_LATE
+        if now < self.open_at:
+            return Closed.TOO_NEW
+        return Closed.PAUSED if now < self.paused_until else Closed.NONE
 
     def record_refusal(self, reason: str, now: float) -> None:
         """Records that the side process refused a start."""
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 
 import eliot
@@ -13,6 +14,7 @@
 from skylarkcleat.scheduling import settling as settling_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
 QUARANTINE_S = 0.3
@@ -45,6 +47,7 @@
         self.settling = settling_lib.Settling(settled_at, now)
         self._announced_at: dict[str, float] = {}
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
+        self._log = workers_log.WorkersLog(now)
         self.expect_sides(sides, now)
 
     def expect_sides(
@@ -140,6 +143,11 @@
         """Returns the workers that may be sent tasks."""
         return [each for each in self.by_side.values() if each.is_open(now)]
 
+    def log_closed(self, now: float) -> None:
+        """Logs at intervals how many side processes get no tasks, and why."""
+        obstacles = [each.find_obstacle(now) for each in self.by_side.values()]
+        self._log.record(collections.Counter(obstacles), now)
+
     def list_runs(
         self, task: str
     ) -> list[tuple[worker_lib.Worker, worker_lib.PlacedRun]]:
--- /dev/null
+++ b/src/skylarkcleat/scheduling/workers_log.py
@@ -0,0 +1,46 @@
+"""Logs how many side processes an owner may not send tasks to, and why."""
+
+from __future__ import annotations
+
+import collections
+
+import eliot
+
+from skylarkcleat.scheduling import worker as worker_lib
+
+INTERVAL_S = 0.5
+"""The shortest interval between two lines."""
+
+WORKERS = "owner:workers"
+"""The type of the line."""
+
+
+class WorkersLog:
+    """Writes a line when the counts have changed since the last one.
+
+    Args:
+        now: The time, in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._logged: collections.Counter[worker_lib.Closed] | None = None
+        self._logged_at = now - INTERVAL_S
+
+    def record(
+        self, obstacles: collections.Counter[worker_lib.Closed], now: float
+    ) -> None:
+        """Records how many side processes there are with each obstacle."""
+        if obstacles == self._logged or now - self._logged_at < INTERVAL_S:
+            return
+        self._logged = obstacles
+        self._logged_at = now
+        closed = {
+            obstacle.value: count
+            for obstacle, count in sorted(obstacles.items())
+            if obstacle is not worker_lib.Closed.NONE
+        }
+        eliot.log_message(
+            WORKERS,
+            open=obstacles[worker_lib.Closed.NONE],
+            closed=closed,
+        )
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -29,6 +29,7 @@
     START_UNANSWERED = "start-unanswered"
     OWNER_CHANGED = "owner-changed"
     NO_ROOM = "no-room"
+    NO_RUNNER = "no-runner"
     OWNER_WAITED = "owner-waited"
     CALLER_GONE = "caller-gone"
     RAN_TWICE = "ran-twice"
@@ -47,6 +48,7 @@
     Cause.START_UNANSWERED: "A runner did not answer the start of a task.",
     Cause.OWNER_CHANGED: "The owner of the jobs changed meanwhile.",
     Cause.NO_ROOM: "It was refused: no runner had room in time.",
+    Cause.NO_RUNNER: "It was refused: no runner took tasks.",
     Cause.OWNER_WAITED: (
         "It was refused: the owner had not heard all side processes."
     ),
@@ -191,6 +193,8 @@
         return Cause.CALLER_GONE
     if end["detail"] == active_job.OWNER_WAITS:
         return Cause.OWNER_WAITED
+    if end["detail"] == active_job.NO_RUNNER:
+        return Cause.NO_RUNNER
     if end["verdict"] == "not-run":
         return Cause.NO_ROOM
     return Cause.OWNER_CHANGED
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -5,6 +5,7 @@
 from skylarkcleat.metrics import decisions
 from skylarkcleat.scheduling import active_job
 
+WORKERS = {"open": 3, "closed": {"reporting": 8, "draining": 1}}
 MARGIN = {"voters": 4, "silent": ("c",), "spare": 0}
 
 
@@ -74,6 +75,9 @@
         ("consensus:leader", {"leader": "a"}, "skylarkcleat_log_has_leader 1"),
         ("consensus:leader", {"leader": ""}, "skylarkcleat_log_has_leader 0"),
         ("consensus:leader", {"leader": "a"}, "skylarkcleat_log_voters 0"),
+        ("owner:workers", WORKERS, "skylarkcleat_owner_open_sides 3"),
+        ("owner:workers", WORKERS, "skylarkcleat_owner_closed_sides 9"),
+        ("owner:ended", {"term": 7}, "skylarkcleat_owner_closed_sides 0"),
         ("consensus:margin", MARGIN, "skylarkcleat_log_voters 4"),
         ("consensus:margin", MARGIN, "skylarkcleat_log_silent_voters 1"),
         ("consensus:margin", MARGIN, "skylarkcleat_log_spare_voters 0"),
--- a/tests/test_timeline_captured.py
+++ b/tests/test_timeline_captured.py
@@ -48,6 +48,7 @@
 UNHEARD = AT_FRONT | {"detail": "no owner is heard"}
 UNRESPONSIVE = AT_FRONT | {"detail": "the owner is unresponsive"}
 NO_ROOM = "no runner has room in time"
+NO_RUNNER = "no runner takes tasks"
 WAITS = "the owner waits for side processes"
 GONE = "its caller has gone"
 
@@ -66,6 +67,8 @@
         ([_end(age_ms=190, runs=ADOPTED)], "owner-changed"),
         ([_end(age_ms=300, runs=LATE, was_sent=True)], "owner-changed"),
         ([_end(verdict="not-run", detail=NO_ROOM)], "no-room"),
+        ([_end(verdict="not-run", detail=NO_RUNNER)], "no-runner"),
+        ([_end(verdict="uncertain", detail=NO_RUNNER)], "no-runner"),
         ([_end(verdict="not-run", detail=WAITS)], "owner-waited"),
         ([_end(verdict="uncertain", detail=WAITS)], "owner-waited"),
         ([_end(verdict="uncertain", detail=GONE)], "caller-gone"),
