Show that runners that crashed get no task again (known red)

The model's runners crash now, under another id and with their ports closed, as they do on the platform.

--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -61,6 +61,8 @@
 
 NO_FAULTS = Faults(gap_s=1e9, unanswered_fraction=0.0, length_s=3.0)
 
+WRONG_INCARNATION = runner_body.Answer(421, "", None)
+
 
 class Run(t.NamedTuple):
     """A run of a task, as recorded at its runner."""
@@ -148,6 +150,8 @@
         self._random = world.random
         self._drift = self._random.choice((0.98, 1.0))
         self.unresponsive_until = 0.0
+        self.down_until = 0.0
+        self._born_ms = 1
         self._fence = 0
         self._last_ended_runs: dict[str, int] = {}
         self._ends: list[scheduling.End] = []
@@ -165,24 +169,35 @@
     def describe(self) -> runner_body.Heartbeat:
         self._sequence += 1
         runner = scheduling.Runner(
-            self.id, 1, UPSTREAM, RUNNER_CPU, 65536, 0, ("a", "r1"), False
+            self.id,
+            self._born_ms,
+            UPSTREAM,
+            RUNNER_CPU,
+            65536,
+            0,
+            ("a", "r1"),
+            False,
         )
         return runner_body.Heartbeat(runner, "", self._sequence, 0)
 
     async def start(
         self, order: scheduling.Start, deadline_ms: int, runner: str
     ) -> runner_body.Answer:
-        assert runner == self.id
+        if runner != self.id:
+            return WRONG_INCARNATION
         return await self._call(lambda: self._start(order, deadline_ms))
 
     async def stop(
         self, order: scheduling.Stop, runner: str
     ) -> runner_body.Answer:
-        assert runner == self.id
+        if runner != self.id:
+            return WRONG_INCARNATION
         return await self._call(lambda: self._stop(order))
 
     async def hold(self, epoch, last_seen, deadline_ms, wait_ms, runner):
-        del runner
+        if self._is_down or runner not in ("", self.id):
+            await asyncio.sleep(0.0005)
+            return None
         if self._is_unanswered():
             await asyncio.sleep(runner_client.PROBE_TIMEOUT_S)
             return None
@@ -196,13 +211,22 @@
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
+        if runner not in ("", self.id):
+            return None
         self._end_expired()
         running = tuple((k, run) for k, (run, _) in self.runs.items())
         return runner_body.HoldAnswer(
-            1, self._clock(), running, tuple(self._ends)
+            self._born_ms, self._clock(), running, tuple(self._ends)
         )
 
+    @property
+    def _is_down(self) -> bool:
+        """Whether nothing listens on the runner's port."""
+        return self._world.now < self.down_until
+
     async def _call(self, act: t.Callable[[], runner_body.Answer]):
+        if self._is_down:
+            return runner_body.Answer(runner_client.UNANSWERED, "", None)
         if self._is_unanswered():
             if self._random.random() < 0.5:
                 late_s = self._random.uniform(0.2, 4.0)
@@ -262,6 +286,20 @@
             self._world.runs.append(Run(task, run, self.id, started_at, now))
         self.runs.clear()
 
+    def crash(self, down_s: float) -> None:
+        """Ends what runs; the runner starts again and remembers nothing."""
+        self.lose_runs()
+        self.down_until = self._world.now + down_s
+        self._born_ms = round(self.down_until * 1000) + 2
+        self.id = f"{self.id.partition('+')[0]}+{self._born_ms}"
+        self._changed.set()
+        self._fence = 0
+        self._deadline = 0.0
+        self._sequence = 0
+        self._number = 0
+        self._ends.clear()
+        self._last_ended_runs.clear()
+
     def _schedule_expiry(self) -> None:
         """Ends what runs once the deadline has passed."""
         left_s = (self._deadline - self._clock()) / 1000 / self._drift
@@ -353,6 +391,18 @@
         await asyncio.sleep(TAKEOVER_S)
         await self._submit_late_jobs()
 
+    async def run_runner_crashes(self, count: int) -> None:
+        """Crashes every runner some times; each is back after a while."""
+        await self._open()
+        for _ in range(count):
+            callers = asyncio.create_task(self._submit_jobs())
+            await asyncio.sleep(self.faults.length_s - 0.5)
+            for runner in self.runners.values():
+                runner.crash(self.random.uniform(1.0, 3.0))
+            await callers
+            await asyncio.sleep(TAKEOVER_S)
+        await self._submit_late_jobs()
+
     async def run_owner_switch(self) -> None:
         """Lets a front go from one live owner to another while its job runs.
 
@@ -445,7 +495,8 @@
         self, side: side_process.SideProcess, runner: Runner
     ) -> None:
         while True:
-            side.handle_heartbeat(runner.describe())
+            if self.now >= runner.down_until:
+                side.handle_heartbeat(runner.describe())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _submit_jobs(self) -> None:
@@ -632,6 +683,14 @@
     return world
 
 
+def simulate_runner_crashes(seed: int, count: int, monkeypatch: t.Any) -> World:
+    """Simulates crashes of all runners at the same time."""
+    world = World(seed, NO_FAULTS)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_runner_crashes(count))
+    return world
+
+
 def simulate_owner_switch(seed: int, monkeypatch: t.Any) -> World:
     """Simulates a front that follows two live owners in turn."""
     world = World(seed, NO_FAULTS, fronts=3, sides=2)
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -64,3 +64,12 @@
 def test_a_job_goes_on_once_its_front_has_the_configuration(seed, monkeypatch):
     world = world_lib.simulate_outdated_copy(seed, monkeypatch)
     assert world.late_verdicts == [scheduling.Verdict.COMPLETED]
+
+
+# A runner that had been given up got no task any more once it was back.
+@pytest.mark.parametrize("count", [1, 2])
+@pytest.mark.parametrize("seed", range(4))
+def test_runners_that_crash_get_tasks_again(seed, count, monkeypatch):
+    world = world_lib.simulate_runner_crashes(seed, count, monkeypatch)
+    assert len(world.late_verdicts) == 9
+    assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
--- a/tests/test_scheduling_side_lease.py
+++ b/tests/test_scheduling_side_lease.py
@@ -84,3 +84,12 @@
     clock.record(None, 2.0)
     clock.reset()
     assert clock.find_time(3.0, 0.0) is None
+
+
+# Orders under a lease that was given up could not be told from later ones.
+def test_a_lease_that_was_given_up_is_not_granted_again():
+    side_lease = _create_lease(10.0)
+    previous = side_lease.epoch
+    side_lease.drop()
+    assert not side_lease.grant(OWNER.name, previous, 10.5)
+    assert side_lease.request(OWNER) > previous
