Give each lease of a side process a fencing token of its own

What callers saw: after each runner had crashed once all jobs were refused, "no runner has room in time", with every runner up and idle, until the owner or the side processes restarted.

Cause: a side process that gives up its lease, because its runner started anew, asked for the next one with the fencing token of the last. The owner made a new record that waits for a report; the side process had reported under that token already, so none came. Class: as in the first RECOVER incident, a wait for a message that nobody asks for, without a limit. Besides, orders under the earlier lease could not be told from those under the later one.

Change: SideLease.drop forgets the request, so the next has a larger epoch and a grant that is still under way is refused. skip_epochs did that for itself.

Ruled out: runners held back for failures (8 s at most), refused starts (none).

--- a/src/skylarkcleat/scheduling/side_lease.py
+++ b/src/skylarkcleat/scheduling/side_lease.py
@@ -82,15 +82,19 @@
         self.last_seen_at = float("-inf")
 
     def drop(self) -> None:
-        """Gives up the lease; no task is started under it any more."""
+        """Gives up the lease; no task is started under it any more.
+
+        The next request has another epoch, so that no order and no grant that
+        is still under way belongs to it.
+        """
         self.owner = NO_OWNER
         self.epoch = 0
+        self.requested = (NO_OWNER, 0)
         self._expires_at = 0.0
 
     def skip_epochs(self, epochs: int) -> None:
         """Skips epochs, since the runner has received a larger one."""
         self._last_epoch += epochs
-        self.requested = (NO_OWNER, 0)
         self.drop()
 
     def is_valid(self, now: float) -> bool:
