Let a side process register again whose report does not come

If that report is lost, nobody asks for it again.

Change: a renewal by a side process that has not reported 2 s after it registered is answered as if it were unknown, so that it registers and reports again. A runner that does not answer is given up after 0.9 s, which also counts as a report. A side process without a lease gives up nothing: the line side:runner-lost with epoch 0 went to nobody, at an empty address.

Test: test_a_side_whose_report_is_missing_has_to_register_again failed without the limit, passes with it; 44 passed with test_scheduling_owner.py.

--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -202,7 +202,7 @@
     ) -> None:
         """Renews a lease, or replies that the side has to register again."""
         worker = self._workers.find(peer.name, message.epoch)
-        if worker is None or worker.phase is worker_lib.Phase.OUTDATED:
+        if worker is None or worker.must_register_again(now):
             self.outbox.send(peer, scheduling.Unregistered(message.epoch))
             return
         worker.granted_at = now
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -22,6 +22,11 @@
 unless a run there ends earlier: the next start would be refused as well."""
 
 
+REPORT_TIMEOUT_S = 2.0
+"""A side process that has not reported this long after it registered has to
+register again. A runner that does not answer is given up after 0.9 s."""
+
+
 class Phase(enum.Enum):
     """Whether a side process has reported its runs and may get tasks.
 
@@ -83,6 +88,7 @@
         zone: Its availability zone.
         runner: The runner's last description of itself; None before that.
         phase: Whether it has reported its runs.
+        registered_at: When the lease was first granted, in seconds.
         granted_at: When the lease was last granted or renewed, in seconds.
         open_at: From when on it may be sent tasks, in seconds.
         is_unresponsive: Whether its runner does not respond.
@@ -108,6 +114,7 @@
         self.zone = register.zone
         self.runner = register.runner
         self.phase = Phase.REPORTING
+        self.registered_at = now
         self.granted_at = now
         self.open_at = open_at
         self.is_unresponsive = False
@@ -132,6 +139,12 @@
             return ""
         return self.runner.labels[-1]
 
+    def must_register_again(self, now: float) -> bool:
+        """Returns whether only another registration can open it."""
+        if self.phase is Phase.REPORTING:
+            return now - self.registered_at >= REPORT_TIMEOUT_S
+        return self.phase is Phase.OUTDATED
+
     def is_open(self, now: float) -> bool:
         """Returns whether tasks may be sent."""
         return self.find_obstacle(now) is Closed.NONE
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -178,7 +178,7 @@
         """
         state = self._state
         epoch = state.lease.epoch
-        if not state.is_unresponsive or self._has_given_up:
+        if not epoch or not state.is_unresponsive or self._has_given_up:
             return
         if self._reported_epoch == epoch and not state.run_table.runs:
             return
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -10,6 +10,7 @@
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
+from skylarkcleat.scheduling import worker
 from skylarkcleat.wire import session as session_lib
 
 QUEUE = content.Queue("q", "h", "/p/", "desk", 1500, 60, 0, 2, 1.6)
@@ -240,6 +241,15 @@
     assert len(_take_messages(owner, scheduling.Start)) == 1
 
 
+def test_a_side_whose_report_is_missing_has_to_register_again(owner):
+    side = _SideStandIn(owner, _request_lease(owner, "side-1", 0.0))
+    owner.submit(FRONT, _submit(estimate_ms=5000), QUEUE, 0.0)
+    side.renew_until(0.0, worker.REPORT_TIMEOUT_S)
+    assert not _take_messages(owner, scheduling.Start)
+    side.renew_until(worker.REPORT_TIMEOUT_S, worker.REPORT_TIMEOUT_S + 0.5)
+    assert len(_take_messages(owner, scheduling.Start)) == 1
+
+
 def test_a_report_from_before_a_handover_does_not_count_after_it(owner):
     epoch = _register(owner)
     owner.extend(["side-1"], 1.0)
