Give up a task under which two runners crashed

A task that crashes its runners was started again on the next one, five and more crashed at a time.

Cause: a run that ends with its runner's crash counted against nobody.

Change: a task counts the runners that were lost under it. Its job is `failed`, "runners crashed under a task", and stays so when it is sent again. The side process tells apart what had started and what got no answer.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -187,9 +187,9 @@
         elif isinstance(message, scheduling.NotStarted):
             owner.handle_not_started(peer.name, message, now)
         elif isinstance(message, scheduling.RunnerUnresponsive):
-            owner.handle_runner_silent(peer.name, message)
+            owner.handle_runner_silent(peer.name, message, now)
         elif isinstance(message, scheduling.RunnerLost):
-            owner.handle_runner_lost(peer.name, message)
+            owner.handle_runner_lost(peer.name, message, now)
 
     def _reply(
         self,
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -412,13 +412,18 @@
     is_unresponsive: bool
 
 
+UNANSWERED = "unanswered"
+"""The reason of `NotStarted` for a run whose start got no answer and whose
+runner was lost."""
+
+
 class RunnerLost(t.NamedTuple):
     """Reports an unresponsive runner all of whose runs have expired.
 
     Attributes:
         epoch: The lease.
-        runs: The runs that the side process knew of. A start that was under
-            way to it is not among them, and is answered by itself.
+        runs: The runs that are known to have started there. A start that got
+            no answer is not among them, and is answered by itself.
     """
 
     epoch: int
--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -61,8 +61,9 @@
 
 NO_ROOM = "no runner has room in time"
 NO_RUNNER = "no runner takes tasks"
+CRASHES = "runners crashed under a task"
 OWNER_WAITS = "the owner waits for side processes"
-"""Why a job was refused, in its log line and its reply."""
+"""Why a job was refused or given up, in its log line and its reply."""
 
 JOB_ENDED = "owner:job-ended"
 """The type of the log line about a job's end; its `runs` are `RunRecord`s."""
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -36,6 +36,11 @@
             detail = f"a task failed {limit} times"
             self._end(job, scheduling.Verdict.FAILED, detail, now)
             return True
+        recent = self._state.jobs.recent
+        if any(recent.find_crashes(task.name).is_deadly for task in job.tasks):
+            verdict = scheduling.Verdict.FAILED
+            self._end(job, verdict, active_job.CRASHES, now)
+            return True
         return False
 
     def end_abandoned(self, now: float) -> None:
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -187,8 +187,8 @@
         for placed in list(worker.runs.values()):
             run = running.get(placed.task)
             if run is None or run.run != placed.run:
-                worker.remove(placed.task, placed.run)
-                self._jobs.requeue_task(placed, worker.side)
+                self._run_endings.record_missing(worker, placed, now)
+        worker.unresponsive_since = None
         for run in running.values():
             self._adoption.record_running(worker, run, now)
         self._workers.record_report(worker)
@@ -228,9 +228,13 @@
         worker = self._workers.find(side, message.epoch)
         if worker is None:
             return
-        placed = worker.remove(message.task, message.run)
-        if placed is None:
+        placed = worker.runs.get(message.task)
+        if placed is None or placed.run != message.run:
             return
+        if message.reason == scheduling.UNANSWERED:
+            self._run_endings.record_lost(worker, placed, now, is_certain=False)
+            return
+        worker.remove(message.task, message.run)
         self._jobs.requeue_task(placed, worker.side)
         job = self._jobs.find(message.task)
         if job is not None:
@@ -243,16 +247,17 @@
             worker.record_refusal(message.reason, now)
 
     def handle_runner_silent(
-        self, side: str, message: scheduling.RunnerUnresponsive
+        self, side: str, message: scheduling.RunnerUnresponsive, now: float
     ) -> None:
         """Records whether a runner responds; otherwise it gets no tasks."""
         worker = self._workers.find(side, message.epoch)
         if worker is not None:
-            worker.is_unresponsive = message.is_unresponsive
+            since = now if message.is_unresponsive else None
+            worker.unresponsive_since = since
             self._jobs.needs_placement = True
 
     def handle_runner_lost(
-        self, side: str, message: scheduling.RunnerLost
+        self, side: str, message: scheduling.RunnerLost, now: float
     ) -> None:
         """Requeues the tasks of an unresponsive runner; they have expired.
 
@@ -264,11 +269,14 @@
         lost = {(run.task, run.run) for run in message.runs}
         is_report = worker.phase is worker_lib.Phase.REPORTING
         for placed in list(worker.runs.values()):
-            if is_report or (placed.task, placed.run) in lost:
-                worker.remove(placed.task, placed.run)
-                self._jobs.requeue_task(placed, side)
-        # Its side process has told this only to the owner that it had then.
-        worker.is_unresponsive = True
+            is_certain = (placed.task, placed.run) in lost
+            if is_report or is_certain:
+                self._run_endings.record_lost(
+                    worker, placed, now, is_certain=is_certain
+                )
+        if worker.unresponsive_since is None:
+            # Its side process has told only the owner that it had then.
+            worker.unresponsive_since = now
         self._workers.record_report(worker)
         self._jobs.needs_placement = True
 
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -53,6 +53,7 @@
     base_s: float,
     workers: collections.abc.Iterable[worker_lib.Worker],
     now: float,
+    is_suspect: bool = False,
 ) -> tuple[worker_lib.Worker, float] | None:
     """Returns the worker with room on which a task is expected to end first.
 
@@ -62,6 +63,7 @@
         base_s: Its expected duration on a runner of average speed, in seconds.
         workers: The workers that may be sent tasks.
         now: The time, in seconds.
+        is_suspect: Whether the task may have crashed a runner.
 
     Returns:
         The worker and the expected duration there, in seconds; None if no
@@ -74,6 +76,8 @@
             continue
         if not worker.fits(step) or not _is_allowed(worker, job, task, now):
             continue
+        if is_suspect and now < worker.trial_until:
+            continue
         expected = base_s * worker.factor
         if is_remote(worker, step):
             expected *= REMOTE_FACTOR
--- a/src/skylarkcleat/scheduling/recent_outcomes.py
+++ b/src/skylarkcleat/scheduling/recent_outcomes.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import crashes as crashes_lib
 
 RETENTION_S = 20.0
 """How long an outcome is kept at least; a caller that lost its answer resends
@@ -19,6 +20,7 @@
     verdicts: dict[str, scheduling.Verdict]
     done: set[str]
     runs: dict[str, int]
+    crashes: dict[str, crashes_lib.Crashes]
 
 
 class RecentOutcomes:
@@ -28,15 +30,15 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._current = _Generation({}, set(), {})
-        self._previous = _Generation({}, set(), {})
+        self._current = _create_generation()
+        self._previous = _create_generation()
         self._rotated_at = now
 
     def discard_old(self, now: float) -> None:
         """Drops the previous generation once the current one is full age."""
         if now - self._rotated_at >= RETENTION_S:
             self._previous = self._current
-            self._current = _Generation({}, set(), {})
+            self._current = _create_generation()
             self._rotated_at = now
 
     def record_verdict(self, job: str, verdict: scheduling.Verdict) -> None:
@@ -64,3 +66,24 @@
         """Returns the highest used run number of a task; 0 for none."""
         young = self._current.runs.get(task, 0)
         return max(young, self._previous.runs.get(task, 0))
+
+    def record_crash(self, task: str, run_s: float, is_certain: bool) -> None:
+        """Records that a runner was lost under a task.
+
+        Args:
+            task: The task.
+            run_s: How long the run had been ordered by then, in seconds.
+            is_certain: Whether it is known to have started.
+        """
+        known = self.find_crashes(task)
+        self._current.crashes[task] = known.add(run_s, is_certain)
+
+    def find_crashes(self, task: str) -> crashes_lib.Crashes:
+        """Returns the runners that were lost under a task."""
+        found = self._current.crashes.get(task)
+        found = found or self._previous.crashes.get(task)
+        return found or crashes_lib.Crashes()
+
+
+def _create_generation() -> _Generation:
+    return _Generation({}, set(), {}, {})
--- a/src/skylarkcleat/scheduling/run_endings.py
+++ b/src/skylarkcleat/scheduling/run_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import math
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
@@ -11,6 +12,9 @@
 from skylarkcleat.scheduling import placement
 from skylarkcleat.scheduling import worker as worker_lib
 
+LOST = "lost"
+"""The event of a run that was lost with its runner, in the job's log line."""
+
 
 class RunEndings:
     """Records the ends of runs that side processes report.
@@ -45,6 +49,51 @@
             acknowledged = scheduling.EndsAcknowledged(worker.epoch, number)
             self._state.outbox.send(worker.peer, acknowledged)
 
+    def record_missing(
+        self,
+        worker: worker_lib.Worker,
+        placed: worker_lib.PlacedRun,
+        now: float,
+    ) -> None:
+        """Records that a run is not there, which a worker's report shows."""
+        if worker.has_restarted:
+            self.record_lost(worker, placed, now, is_certain=False)
+            return
+        worker.remove(placed.task, placed.run)
+        self._state.jobs.requeue_task(placed, worker.side)
+
+    def record_lost(
+        self,
+        worker: worker_lib.Worker,
+        placed: worker_lib.PlacedRun,
+        now: float,
+        *,
+        is_certain: bool,
+    ) -> None:
+        """Records a run that was lost with its runner.
+
+        Args:
+            worker: The worker whose runner was lost.
+            placed: The run.
+            now: The time, in seconds.
+            is_certain: Whether the run is known to have started.
+        """
+        jobs = self._state.jobs
+        worker.remove(placed.task, placed.run)
+        lost_at = now
+        if worker.unresponsive_since is not None:
+            lost_at = worker.unresponsive_since
+        # The age of a run that another owner ordered isn't known.
+        is_own = placed.expected_s > 0
+        run_s = lost_at - placed.started_at if is_own else math.inf
+        jobs.recent.record_crash(placed.task, run_s, is_certain)
+        job = jobs.find(placed.task)
+        if job is not None:
+            job.record(placed.task, placed.run, worker.side, LOST, now)
+        jobs.requeue_task(placed, worker.side)
+        if job is not None:
+            self._job_endings.end_if_done(job, now)
+
     def _record_end(
         self,
         worker: worker_lib.Worker,
--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -54,6 +54,18 @@
     missing: tuple[local_run.LocalRun, ...]
 
 
+class LostRuns(t.NamedTuple):
+    """The runs of a runner that was given up.
+
+    Attributes:
+        started: Those that are known to have started.
+        unanswered: Those whose start got no answer.
+    """
+
+    started: tuple[scheduling.Run, ...]
+    unanswered: tuple[scheduling.Run, ...]
+
+
 class RunTable:
     """The runs of one runner.
 
@@ -232,6 +244,15 @@
         """Returns the runs for a report to the owner."""
         return tuple(known.describe() for known in self.runs.values())
 
+    def give_up(self) -> LostRuns:
+        """Removes and returns all runs: the runner is lost."""
+        started, unanswered = [], []
+        for known in self.runs.values():
+            is_started = known.state is local_run.RunState.STARTED
+            (started if is_started else unanswered).append(known.describe())
+        self.runs.clear()
+        return LostRuns(tuple(started), tuple(unanswered))
+
     def record_acknowledged(self, number: int) -> None:
         """Records that the owner has acknowledged ends up to a number."""
         self.last_acknowledged = max(self.last_acknowledged, number)
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -4,6 +4,7 @@
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import crashes as crashes_lib
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import placement
 from skylarkcleat.scheduling import worker as worker_lib
@@ -47,9 +48,14 @@
             base_s = self._state.jobs.estimates.predict_s(
                 job.queue.name, step.estimate_ms
             )
-            choice = placement.choose_worker(job, task, base_s, workers, now)
+            crashes = self._state.jobs.recent.find_crashes(task.name)
+            choice = placement.choose_worker(
+                job, task, base_s, workers, now, crashes.is_suspect
+            )
             if choice is None:
                 return False
+            if crashes.is_suspect:
+                choice[0].trial_until = now + crashes_lib.FRESH_S
             self._start(job, task, choice[0], choice[1], now)
         return True
 
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -91,9 +91,14 @@
         registered_at: When the lease was first granted, in seconds.
         granted_at: When the lease was last granted or renewed, in seconds.
         open_at: From when on it may be sent tasks, in seconds.
-        is_unresponsive: Whether its runner does not respond.
+        unresponsive_since: Since when its runner does not respond, in seconds;
+            None if it does.
+        has_restarted: Whether its runner has started anew since the runs that
+            its former lease left.
         paused_until: Until when it gets no tasks, since it refused one for
             lack of room that is not known here, in seconds.
+        trial_until: Until when it gets no other task that may have crashed a
+            runner, in seconds: if it crashes, one of them is to blame.
         runs: The runs there, by task.
         speed: The measured speed of the runner.
         factor: The expected duration of tasks there relative to the average
@@ -117,8 +122,10 @@
         self.registered_at = now
         self.granted_at = now
         self.open_at = open_at
-        self.is_unresponsive = False
+        self.unresponsive_since: float | None = None
+        self.has_restarted = False
         self.paused_until = 0.0
+        self.trial_until = 0.0
         self.runs: dict[str, PlacedRun] = {}
         self.speed = speed
         self.factor = speed.find_factor(now)
@@ -139,6 +146,20 @@
             return ""
         return self.runner.labels[-1]
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether its runner does not respond."""
+        return self.unresponsive_since is not None
+
+    def inherit(self, previous: Worker) -> None:
+        """Takes over the runs of an earlier lease, until they are reported."""
+        for placed in previous.runs.values():
+            self.add(placed)
+        self.unresponsive_since = previous.unresponsive_since
+        self.has_restarted = _identify(self.runner) != _identify(
+            previous.runner
+        )
+
     def must_register_again(self, now: float) -> bool:
         """Returns whether only another registration can open it."""
         if self.phase is Phase.REPORTING:
@@ -231,3 +252,8 @@
         self._used_cpu += sign * step.cpu
         self._used_memory_mb += sign * step.memory_mb
         self._used_gpu += sign * step.gpu
+
+
+def _identify(runner: scheduling.Runner | None) -> tuple[str, int]:
+    """Returns what tells one life of a runner from another."""
+    return (runner.id, runner.born_ms) if runner else ("", 0)
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -92,8 +92,7 @@
         )
         worker = worker_lib.Worker(message, peer, now, open_at, speed)
         if previous is not None:
-            for placed in previous.runs.values():
-                worker.add(placed)
+            worker.inherit(previous)
         self.by_side[message.side] = worker
         return worker
 
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -184,9 +184,19 @@
             return
         if state.now() < lease.find_expiry(state.extended_at):
             return
-        runs = state.run_table.list_running()
-        eliot.log_message("side:runner-lost", epoch=epoch, runs=len(runs))
+        lost = state.run_table.give_up()
+        eliot.log_message(
+            "side:runner-lost",
+            epoch=epoch,
+            runs=len(lost.started),
+            unanswered=len(lost.unanswered),
+        )
         self._has_given_up = True
         self._reported_epoch = epoch
-        state.run_table.runs.clear()
-        state.send_owner(scheduling.RunnerLost(epoch, runs))
+        for run in lost.unanswered:
+            state.send_owner(
+                scheduling.NotStarted(
+                    epoch, run.task, run.run, scheduling.UNANSWERED
+                )
+            )
+        state.send_owner(scheduling.RunnerLost(epoch, lost.started))
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -9,6 +9,7 @@
 
 from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import run_endings
 
 FRONT_OWNER = "front:owner"
 WAIT_SHARE = 0.25
@@ -25,6 +26,7 @@
     SLOW_RUN = "slow-run"
     RUN_FAILED = "run-failed"
     RUN_LOST = "run-lost"
+    CRASHES = "crashes"
     START_REFUSED = "start-refused"
     START_UNANSWERED = "start-unanswered"
     OWNER_CHANGED = "owner-changed"
@@ -44,6 +46,7 @@
     Cause.SLOW_RUN: "A task took longer than the job's objective allows.",
     Cause.RUN_FAILED: "A task failed on its runner.",
     Cause.RUN_LOST: "A task was lost with its runner or lease.",
+    Cause.CRASHES: "It was given up: runners crashed under one of its tasks.",
     Cause.START_REFUSED: "A side process refused to start a task.",
     Cause.START_UNANSWERED: "A runner did not answer the start of a task.",
     Cause.OWNER_CHANGED: "The owner of the jobs changed meanwhile.",
@@ -174,7 +177,7 @@
         return Cause.RUN_FAILED
     if "side:start-unanswered" in kinds:
         return Cause.START_UNANSWERED
-    if events & {"lapsed", "stopped"}:
+    if events & {"lapsed", "stopped", run_endings.LOST}:
         return Cause.RUN_LOST
     if "adopted" in events or end["may_have_run"]:
         return Cause.OWNER_CHANGED
@@ -187,6 +190,8 @@
 
 
 def _explain_unserved(end: dict[str, t.Any]) -> Cause:
+    if end["detail"] == active_job.CRASHES:
+        return Cause.CRASHES
     if end["verdict"] == "failed":
         return Cause.RUN_FAILED
     if end["detail"].startswith("its caller"):
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -25,6 +25,8 @@
 STOP_S = 0.05
 TICK_S = 0.02
 RENEW_S = 0.15
+SILENT_S = 0.025
+"""A side process misses two probes in this time once its runner is down."""
 
 
 class JobClass(t.NamedTuple):
@@ -81,6 +83,28 @@
     fails: bool = False
 
 
+class DeadlyTasks(t.NamedTuple):
+    """A fraction of one class's jobs whose first task crashes its runners.
+
+    Attributes:
+        kind: The class.
+        share: The fraction of its jobs.
+        at: When it begins, in seconds.
+        for_s: How long it lasts, in seconds.
+        crash_s: How long after its start the runner crashes, in seconds.
+        down_s: How long a runner is down, in seconds.
+        lost_s: How long after the crash its side process gives up the runs.
+    """
+
+    kind: str
+    share: float
+    at: float
+    for_s: float
+    crash_s: float = 0.005
+    down_s: float = 3.0
+    lost_s: float = 0.9
+
+
 class Load(t.NamedTuple):
     """The parameters of a simulation.
 
@@ -92,6 +116,7 @@
         runners: The number of runners.
         bursts: Bursts of arrivals.
         faults: Faults of runners.
+        deadly: Tasks that crash their runners, if any do.
         seed: The seed of the random numbers.
     """
 
@@ -102,11 +127,12 @@
     runners: int = 11
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
+    deadly: DeadlyTasks | None = None
     seed: int = 1
 
 
 class Outcome(t.NamedTuple):
-    """How one job ended, and when it was submitted."""
+    """How one job ended, when it was submitted and whether it could be done."""
 
     kind: JobClass
     verdict: scheduling.Verdict
@@ -114,6 +140,7 @@
     objective_s: float
     width: int
     at: float
+    is_deadly: bool = False
 
 
 class Simulation:
@@ -127,17 +154,21 @@
         self.owner = owner_lib.Owner(FRONT, predecessor_lib.Predecessor(), 0.0)
         self._events: list[tuple[float, int, t.Callable[[float], None]]] = []
         self._count = itertools.count()
-        self._requests: dict[int, tuple[JobClass, float, float, int]] = {}
+        self._requests: dict[int, tuple[JobClass, float, float, int, str]] = {}
         self._works: dict[str, list[float]] = {}
         self._epochs: dict[int, int] = {}
         self._ends: dict[int, int] = {}
         self._failing: set[str] = set()
         self._running: set[tuple[int, str, int]] = set()
+        self._down_until = [0.0] * load.runners
+        self._deadly: set[str] = set()
+        self.crashes: dict[str, int] = {}
         self._queues = {kind.name: _create_queue(kind) for kind in JOB_CLASSES}
 
     def play(self) -> Simulation:
         for runner in range(self.load.runners):
             self._register(runner)
+            self._at(RENEW_S, self._renew(runner))
         for kind in JOB_CLASSES:
             self._at(self._draw_gap(kind, 0.0), self._arrive(kind))
         self._at(0.0, self._tick)
@@ -157,7 +188,7 @@
         """
         earned = possible = 0.0
         for each in self.outcomes:
-            if kind and each.kind.name != kind:
+            if each.is_deadly or (kind and each.kind.name != kind):
                 continue
             possible += each.kind.value
             if each.verdict is not scheduling.Verdict.COMPLETED:
@@ -170,7 +201,11 @@
 
     def find_service_share(self, kind: str = "") -> float:
         """Returns the share of jobs that ended within 3 times the objective."""
-        chosen = [o for o in self.outcomes if kind in ("", o.kind.name)]
+        chosen = [
+            each
+            for each in self.outcomes
+            if kind in ("", each.kind.name) and not each.is_deadly
+        ]
         served = [
             each
             for each in chosen
@@ -182,11 +217,12 @@
     def _at(self, when: float, act: t.Callable[[float], None]) -> None:
         heapq.heappush(self._events, (when, next(self._count), act))
 
-    def _register(self, runner: int) -> None:
+    def _register(self, runner: int, now: float = 0.0) -> None:
         size = self.load.sizes[runner % len(self.load.sizes)]
+        epoch = self._epochs.get(runner, 0) + 100
         described = scheduling.Runner(
-            f"i-{runner}",
-            1,
+            f"i-{runner}-{epoch}",
+            epoch,
             UPSTREAM,
             round(64000 * size),
             round(262144 * size),
@@ -195,15 +231,13 @@
             False,
         )
         peer = session_lib.Endpoint(f"side-{runner}", 1)
-        epoch = runner + 1
-        register = scheduling.Register(peer.name, "z", epoch, described, 0.0)
-        self.owner.register(peer, register, 0.0)
-        self.owner.workers[peer.name].open_at = 0.0
+        register = scheduling.Register(peer.name, "z", epoch, described, now)
+        self.owner.register(peer, register, now)
+        self.owner.workers[peer.name].open_at = now
         self._epochs[runner] = epoch
         self._ends[runner] = 0
         report = scheduling.Report(epoch, (), ())
-        self.owner.handle_report(peer.name, report, 0.0)
-        self._at(RENEW_S, self._renew(runner))
+        self.owner.handle_report(peer.name, report, now)
 
     def _renew(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
@@ -248,8 +282,13 @@
         job = scheduling.Job(job_id, "spec", (step,))
         number = next(self._count)
         objective_s = 1.6 * max(works) + 0.06
-        self._requests[number] = (kind, now, objective_s, width)
+        self._requests[number] = (kind, now, objective_s, width, job_id)
         self._works[job_id] = works
+        deadly = self.load.deadly
+        if deadly is not None and deadly.kind == kind.name:
+            is_time = deadly.at <= now < deadly.at + deadly.for_s
+            if is_time and draw.random() < deadly.share:
+                self._deadly.add(job_id)
         submit = scheduling.Submit(number, "h", "/p/", job, 4, 10_000, 1)
         self.owner.submit(FRONT, submit, self._queues[kind.name], now)
 
@@ -257,7 +296,7 @@
         for outgoing in self.owner.outbox.take():
             message = outgoing.message
             if isinstance(message, scheduling.Reply):
-                kind, begun, objective_s, width = self._requests.pop(
+                kind, begun, objective_s, width, job = self._requests.pop(
                     message.request
                 )
                 self.outcomes.append(
@@ -268,6 +307,7 @@
                         objective_s,
                         width,
                         begun,
+                        job in self._deadly,
                     )
                 )
             elif isinstance(message, scheduling.Start):
@@ -281,6 +321,12 @@
 
     def _start(self, runner: int, start: scheduling.Start, now: float) -> None:
         job_id, _, _, index = start.task.split(".")
+        if now < self._down_until[runner]:
+            self._running.add((runner, start.task, start.run))
+            return
+        if job_id in self._deadly and index == "0":
+            crash_at = now + self.load.deadly.crash_s
+            self._at(crash_at, self._crash(runner, start.task))
         factor = self.load.speeds[runner % len(self.load.speeds)]
         took_s = self._works[job_id][int(index)] * factor
         ending = scheduling.Ending.DONE
@@ -295,6 +341,44 @@
         self.runs.append((now, now + took_s, runner, start.task, ending))
         self._at(now + took_s + REPORT_S, self._end(runner, start, ending))
 
+    def _crash(self, runner: int, task: str) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            if now < self._down_until[runner]:
+                return
+            deadly = self.load.deadly
+            self.crashes[task] = self.crashes.get(task, 0) + 1
+            self._down_until[runner] = now + deadly.down_s
+            self._at(now + SILENT_S, self._fall_silent(runner))
+            self._at(now + deadly.lost_s, self._give_up(runner))
+            self._at(now + deadly.down_s, self._come_back(runner))
+
+        return act
+
+    def _fall_silent(self, runner: int) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            message = scheduling.RunnerUnresponsive(self._epochs[runner], True)
+            self.owner.handle_runner_silent(f"side-{runner}", message, now)
+
+        return act
+
+    def _give_up(self, runner: int) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            lost = [key for key in self._running if key[0] == runner]
+            self._running.difference_update(lost)
+            runs = tuple(
+                scheduling.Run(task, run, 1, 1, 0) for _, task, run in lost
+            )
+            message = scheduling.RunnerLost(self._epochs[runner], runs)
+            self.owner.handle_runner_lost(f"side-{runner}", message, now)
+
+        return act
+
+    def _come_back(self, runner: int) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            self._register(runner, now)
+
+        return act
+
     def _end(
         self,
         runner: int,
@@ -303,7 +387,8 @@
     ) -> t.Callable[[float], None]:
         def act(now: float) -> None:
             key = (runner, start.task, start.run)
-            if key not in self._running:
+            is_down = now < self._down_until[runner]
+            if key not in self._running or is_down:
                 return
             self._running.remove(key)
             self._ends[runner] += 1
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -458,12 +458,12 @@
 def test_an_unresponsive_runner_gets_no_tasks_until_it_answers(owner):
     epoch = _register(owner)
     owner.handle_runner_silent(
-        "side-1", scheduling.RunnerUnresponsive(epoch, True)
+        "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
     )
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     assert not _take_messages(owner, scheduling.Start, 0.0)
     owner.handle_runner_silent(
-        "side-1", scheduling.RunnerUnresponsive(epoch, False)
+        "side-1", scheduling.RunnerUnresponsive(epoch, False), 0.1
     )
     assert len(_take_messages(owner, scheduling.Start, 0.1)) == 1
 
@@ -473,13 +473,13 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     owner.handle_runner_silent(
-        "side-1", scheduling.RunnerUnresponsive(epoch, True)
+        "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
     )
     _register(owner, "side-2", _runner("i-2"), now=0.1)
     assert not _take_messages(owner, scheduling.Start, 0.1)
     lost = scheduling.Run(start.task, start.run, 1000, 64, 0)
     message = scheduling.RunnerLost(epoch, (lost,))
-    owner.handle_runner_lost("side-1", message)
+    owner.handle_runner_lost("side-1", message, 0.2)
     (again,) = _take_messages(owner, scheduling.Start, 0.2)
     assert again.task == start.task
     assert again.run > start.run
@@ -491,7 +491,7 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     _register(owner, "side-2", _runner("i-2"), now=0.1)
-    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch))
+    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch), 0.2)
     assert not _take_messages(owner, scheduling.Start, 0.2)
     refusal = scheduling.NotStarted(epoch, start.task, start.run, "silent")
     owner.handle_not_started("side-1", refusal, 0.2)
@@ -502,7 +502,7 @@
     owner = _create_successor(["side-1"], 10.0)
     epoch = _request_lease(owner, "side-1", 10.1)
     assert not owner.is_settled(10.2)
-    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch))
+    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch), 10.2)
     assert owner.is_settled(10.2)
     owner.submit(FRONT, _submit(), QUEUE, 10.2)
     assert not _take_messages(owner, scheduling.Start, 10.2)
--- a/tests/test_scheduling_workers_log.py
+++ b/tests/test_scheduling_workers_log.py
@@ -37,7 +37,7 @@
         ({"phase": worker_lib.Phase.OUTDATED}, CLOSED.OUTDATED),
         ({"runner": None}, CLOSED.NO_RUNNER),
         ({"runner": RUNNER._replace(draining=True)}, CLOSED.DRAINING),
-        ({"is_unresponsive": True}, CLOSED.UNRESPONSIVE),
+        ({"unresponsive_since": 0.0}, CLOSED.UNRESPONSIVE),
         ({"open_at": 1.0}, CLOSED.TOO_NEW),
         ({"paused_until": 1.0}, CLOSED.PAUSED),
         ({"granted_at": -lease.FRONT_LEASE_S}, CLOSED.LEASE_LATE),
--- a/tests/test_timeline_captured.py
+++ b/tests/test_timeline_captured.py
@@ -33,6 +33,8 @@
 FAILED = ((1, "side-1", 0, "start"), (1, "side-1", 50, "failed"), *DONE)
 LAPSED = ((1, "side-1", 0, "start"), (1, "side-1", 50, "lapsed"), *DONE)
 REFUSED = ((1, "side-1", 0, "start"), (1, "side-1", 1, "draining"), *DONE)
+LOST = ((1, "side-1", 0, "start"), (1, "side-1", 50, "lost"), *DONE)
+CRASHES = "runners crashed under a task"
 ADOPTED = ((1, "side-1", 10, "adopted"), (1, "side-1", 190, "done"))
 TWICE = (*DONE, (2, "side-2", 95, "done"))
 UNANSWERED = {"message_type": "side:start-unanswered", "task": f"{JOB}.0.0.0"}
@@ -62,6 +64,8 @@
         ([_end(age_ms=190, runs=FAILED)], "run-failed"),
         ([_end(verdict="failed", runs=FAILED)], "run-failed"),
         ([_end(age_ms=190, runs=LAPSED)], "run-lost"),
+        ([_end(age_ms=190, runs=LOST)], "run-lost"),
+        ([_end(verdict="failed", runs=LOST, detail=CRASHES)], "crashes"),
         ([_end(age_ms=190, runs=REFUSED)], "start-refused"),
         ([UNANSWERED, _end(age_ms=190, runs=DONE)], "start-unanswered"),
         ([_end(age_ms=190, runs=ADOPTED)], "owner-changed"),
