Keep processes alive beside odd entries, and follow their runners

What a test through real processes showed before: both side processes ended after heartbeats with such numbers (OverflowError while the runner's description was sent on), and after a hold answer with a short row (IndexError); with one entry of a high `sequence` or `born` the runner's own heartbeats were passed over from then on.

Change: - json_body.decode is the one way in: any body ends as BodyError or as values within bounds that can be sent; every decoder of the adapter uses it. - rows of runs and ends are typed, and may grow at their end; an end of an unknown kind is over and not done, where it made the whole answer unreadable for good. - a heartbeat from another address than the runner's, or of a runner that starts in the future, is passed over with a line; one far behind the last number is not late. - an id that can't stand in a header names no runner. - unreadable answers leave a line (they were dropped in silence). - an odd seed is passed over with a line; an odd address to listen on is named.

Class: input that was trusted after its type was checked; looked for in all bodies (runners, callers, operators) and in the settings.

--- a/src/skylarkcleat/platform/configuration_body.py
+++ b/src/skylarkcleat/platform/configuration_body.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from skylarkcleat.configuration import content
+from skylarkcleat.platform import json_body
 
 
 class ConfigurationError(ValueError):
@@ -16,11 +17,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: json_body.Number
+    target_latency_ms: json_body.Number = 0
+    priority: json_body.Count = 0
+    max_attempts: json_body.Count = 1
+    stretch: json_body.Number = 1.0
     advice: msgspec.Raw | None = None
 
 
@@ -30,7 +31,7 @@
 
 
 class _Body(msgspec.Struct, rename="kebab"):
-    version: int
+    version: json_body.Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
 
@@ -45,8 +46,8 @@
         ConfigurationError: The body is not a valid configuration.
     """
     try:
-        decoded = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = json_body.decode(_DECODER, body)
+    except json_body.BodyError as error:
         raise ConfigurationError(f"it can't be read: {error}") from error
     _check(decoded)
     return content.Configuration(
--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -14,6 +14,7 @@
 from skylarkcleat.protocol import scheduling
 
 DEFAULT_CALLER_TIMEOUT_MS = 10_000
+MAX_DIGITS = 9
 _JOB_PATH = re.compile(r"(.*?)([0-9a-fA-F]{16})", re.DOTALL)
 _JOB_STATES = (
     scheduling.Verdict.COMPLETED,
@@ -116,4 +117,5 @@
 
 def _read_caller_timeout(request: web.BaseRequest) -> int:
     text = request.headers.get(names.DEADLINE_HEADER, "")
-    return int(text) if text.isdigit() else DEFAULT_CALLER_TIMEOUT_MS
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else DEFAULT_CALLER_TIMEOUT_MS
--- a/src/skylarkcleat/platform/job_body.py
+++ b/src/skylarkcleat/platform/job_body.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from skylarkcleat.platform import json_body
 from skylarkcleat.protocol import scheduling
 
 MAX_SPEC_BYTES = 4000
@@ -22,15 +23,15 @@
 
 
 class _Step(msgspec.Struct, rename="kebab"):
-    task_count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
-    depends_on: tuple[int, ...] = ()
+    task_count: json_body.Count
+    cpu: json_body.Count = 0
+    mem_mb: json_body.Count = 0
+    gpu: json_body.Count = 0
+    estimated_ms: json_body.Number = 0
+    depends_on: tuple[json_body.Count, ...] = ()
     requirements: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: json_body.Count = 0
     gang: bool = False
     same_rack: bool = False
     speculative: bool = False
@@ -43,7 +44,7 @@
     steps: tuple[_Step, ...]
     best_effort: bool = False
     long_running: bool = False
-    run_count: int = 0
+    run_count: json_body.Count = 0
 
 
 _DECODER = msgspec.json.Decoder(_Body, strict=False)
@@ -60,8 +61,8 @@
         JobError: The body is not a valid job.
     """
     try:
-        decoded = _DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+        decoded = json_body.decode(_DECODER, body)
+    except json_body.BodyError as error:
         raise JobError(f"the job can't be read: {error}") from error
     _check(decoded)
     steps = tuple(
--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import re
 import typing as t
 
+import eliot
 import msgspec
 
+from skylarkcleat.platform import json_body
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import run_table
 
+MAX_LABELS = 64
 _DRAINING = "draining"
+_ID = re.compile(r"[!-~]{1,128}")
+_ENDINGS = {ending.value: ending for ending in scheduling.Ending}
 
 
 class RunnerError(ValueError):
@@ -63,33 +69,51 @@
 
 
 class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: json_body.Count
+    mem_mb: json_body.Count
+    gpu: json_body.Count = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="kebab"):
-    service: str
-    address: str
-    zone: str
+    service: json_body.Label
+    address: json_body.Label
+    zone: json_body.Label
     state: t.Literal["ready", "draining"]
     capacity: _Capacity
-    sequence: int
-    born: int = 0
-    labels: tuple[str, ...] = ()
-    clock_ms: int = 0
+    sequence: json_body.Count
+    born: json_body.Count = 0
+    labels: t.Annotated[
+        tuple[json_body.Label, ...], msgspec.Meta(max_length=MAX_LABELS)
+    ] = ()
+    clock_ms: json_body.Count = 0
 
 
 class _Answer(msgspec.Struct, rename="kebab"):
     reason: str = ""
-    clock_ms: int | None = None
+    clock_ms: json_body.Count | None = None
+
+
+class _Running(msgspec.Struct, array_like=True):
+    """A row; the platform may add to its end."""
+
+    task: str
+    run: json_body.Count
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    """A row; the platform may add to its end."""
+
+    number: json_body.Count
+    task: str
+    run: json_body.Count
+    how: str
 
 
 class _HoldAnswer(msgspec.Struct, rename="kebab"):
-    clock_ms: int
-    born: int = 0
-    running: tuple[tuple[t.Any, ...], ...] = ()
-    ended: tuple[tuple[int, str, int, scheduling.Ending, t.Any], ...] = ()
+    clock_ms: json_body.Count
+    born: json_body.Count = 0
+    running: tuple[_Running, ...] = ()
+    ended: tuple[_Ended, ...] = ()
 
 
 _HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
@@ -103,9 +127,10 @@
     Raises:
         RunnerError: The body is not a runner's heartbeat.
     """
+    _check_id(runner)
     try:
-        decoded = _HEARTBEAT.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = json_body.decode(_HEARTBEAT, body)
+    except json_body.BodyError as error:
         raise RunnerError(f"no heartbeat of a runner: {error}") from error
     described = scheduling.Runner(
         runner,
@@ -125,8 +150,11 @@
 def decode_answer(status: int, body: bytes) -> Answer:
     """Decodes a runner's answer to a start or a stop."""
     try:
-        decoded = _ANSWER.decode(body or b"{}")
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        decoded = json_body.decode(_ANSWER, body or b"{}")
+    except json_body.BodyError as error:
+        eliot.log_message(
+            "side:answer-unreadable", status=status, reason=str(error)
+        )
         return Answer(status, "unreadable answer", None)
     return Answer(status, decoded.reason, decoded.clock_ms)
 
@@ -138,11 +166,11 @@
         RunnerError: The body is not such an answer.
     """
     try:
-        decoded = _HOLD_ANSWER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = json_body.decode(_HOLD_ANSWER, body)
+    except json_body.BodyError as error:
         raise RunnerError(f"no list of runs: {error}") from error
-    running = tuple((str(row[0]), int(row[1])) for row in decoded.running)
-    ends = tuple(scheduling.End(*row[:4]) for row in decoded.ended)
+    running = tuple((row.task, row.run) for row in decoded.running)
+    ends = tuple(map(_create_end, decoded.ended))
     return HoldAnswer(decoded.born, decoded.clock_ms, running, ends)
 
 
@@ -158,3 +186,15 @@
         held.running,
         held.ends,
     )
+
+
+def _check_id(runner: str) -> None:
+    """Checks an id, which is sent back to the runner in a header."""
+    if not _ID.fullmatch(runner):
+        raise RunnerError("the runner's id is not a word of printable ASCII")
+
+
+def _create_end(row: _Ended) -> scheduling.End:
+    """Returns an end; one of an unknown kind is over and was not done."""
+    ending = _ENDINGS.get(row.how, scheduling.Ending.LAPSED)
+    return scheduling.End(row.number, row.task, row.run, ending)
--- a/src/skylarkcleat/platform/runner_client.py
+++ b/src/skylarkcleat/platform/runner_client.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import aiohttp
+import eliot
 import msgspec
 
 from skylarkcleat.platform import names
@@ -114,7 +115,8 @@
             return None
         try:
             return runner_body.decode_hold_answer(data)
-        except runner_body.RunnerError:
+        except runner_body.RunnerError as error:
+            eliot.log_message("side:runs-unreadable", reason=str(error))
             return None
 
     async def _call(
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import collections.abc
+import ipaddress
 import os
 import pathlib
 
+import eliot
 import msgspec
 
 from skylarkcleat import problem as problem_lib
 
+MAX_PORT = 65_535
 PATH_VARIABLE = "SKYLARKCLEAT_SETTINGS"
 
 
@@ -99,18 +103,57 @@
     path = path or os.environ.get(PATH_VARIABLE, "")
     try:
         data = pathlib.Path(path).read_bytes()
-        return msgspec.toml.decode(data, type=Settings)
-    except (OSError, msgspec.MsgspecError) as error:
+        settings = msgspec.toml.decode(data, type=Settings)
+    except (OSError, UnicodeError, msgspec.MsgspecError) as error:
         problem = problem_lib.Problem(path, "", str(error))
         raise problem_lib.SettingsError([problem]) from error
+    problems = list(_list_problems(path, settings))
+    if problems:
+        raise problem_lib.SettingsError(problems)
+    return settings
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Returns the IP number and the port of an `ip:port`."""
+    """Returns the IP number and the port of an `ip:port`.
+
+    Raises:
+        ValueError: It is not an IP number and a port.
+    """
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    ipaddress.IPv4Address(host)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"{number} is not a port")
+    return host, number
 
 
 def list_seed_ips(settings: Settings) -> tuple[str, ...]:
-    """Returns the IP numbers of the seeds."""
-    return tuple(split_address(seed)[0] for seed in settings.seeds)
+    """Returns the IP numbers of the seeds; an odd entry names no front."""
+    found = []
+    for seed in settings.seeds:
+        try:
+            found.append(split_address(seed)[0])
+        except ValueError as error:
+            eliot.log_message(
+                "process:seed-ignored", seed=seed, reason=str(error)
+            )
+    return tuple(found)
+
+
+def _list_problems(
+    path: str, settings: Settings
+) -> collections.abc.Iterator[problem_lib.Problem]:
+    """Yields what is wrong with the addresses that a process needs."""
+    listen = settings.listen
+    for key, address in (
+        ("listen.front", listen.front),
+        ("listen.ready", listen.ready),
+        ("listen.control", listen.control),
+        ("app", settings.app),
+    ):
+        if not address:
+            continue
+        try:
+            split_address(address)
+        except ValueError as error:
+            yield problem_lib.Problem(path, key, f"{address!r}: {error}")
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from skylarkcleat import clock as clock_lib
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
@@ -20,6 +21,13 @@
 from skylarkcleat.wire import event as event_lib
 from skylarkcleat.wire import hub as hub_lib
 
+MAX_CLOCK_AHEAD_MS = 60_000
+"""How far ahead a runner's time of day may be."""
+
+MAX_LATE_HEARTBEATS = 1_000
+"""A heartbeat whose number is further behind the last one is not late: the last
+one was not the runner's."""
+
 
 class SideProcess(runner_reports.RunnerListener):
     """Everything that a side process does except for its HTTP server."""
@@ -40,6 +48,7 @@
         )
         self._orders = orders_lib.Orders(self._state, self._probes, client)
         self._heartbeat_sequence = 0
+        self._runner_address = settings.app
 
     def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
         """Returns the coroutines that run as long as the process."""
@@ -54,6 +63,12 @@
         """Handles a heartbeat of the runner."""
         state = self._state
         runner = heartbeat.runner
+        reason = self._find_oddity(heartbeat)
+        if reason:
+            eliot.log_message(
+                "side:heartbeat-ignored", runner=runner.id, reason=reason
+            )
+            return
         known = state.run_table.runner
         if known is not None and self._is_stale(heartbeat, known):
             return
@@ -91,16 +106,23 @@
             await self._probes.probe(0)
         self._state.cancel_calls()
 
+    def _find_oddity(self, heartbeat: runner_body.Heartbeat) -> str:
+        """Returns why a heartbeat can't be that of the runner beside here."""
+        if heartbeat.address != self._runner_address:
+            return f"it is at {heartbeat.address}"
+        latest_ms = clock_lib.read_wall_ms() + MAX_CLOCK_AHEAD_MS
+        if heartbeat.runner.born_ms > latest_ms:
+            return f"it starts at {heartbeat.runner.born_ms}, in the future"
+        return ""
+
     def _is_stale(
         self, heartbeat: runner_body.Heartbeat, known: scheduling.Runner
     ) -> bool:
         runner = heartbeat.runner
         if runner.born_ms != known.born_ms:
             return runner.born_ms < known.born_ms
-        return (
-            runner.id == known.id
-            and heartbeat.sequence <= self._heartbeat_sequence
-        )
+        behind = self._heartbeat_sequence - heartbeat.sequence
+        return runner.id == known.id and 0 <= behind < MAX_LATE_HEARTBEATS
 
     async def _receive_events(self) -> None:
         while True:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -30,6 +30,7 @@
     Attributes:
         starts: Each task and run that it began.
         delay_s: How long a task takes.
+        odd_answer: What it answers to each hold in place of its runs, if any.
     """
 
     def __init__(self, ip: str, port: int, control: str, number: int) -> None:
@@ -40,6 +41,7 @@
         self.state = "ready"
         self.delay_s = 0.05
         self.failing = False
+        self.odd_answer: bytes | None = None
         self.starts: list[tuple[str, int]] = []
         self.acknowledged: list[str] = []
         self._born = int(time.time() * 1000)
@@ -51,6 +53,11 @@
         self._deadline = 0.0
         self._wake = asyncio.Event()
 
+    @property
+    def born_ms(self) -> int:
+        """When it started, in Unix milliseconds."""
+        return self._born
+
     async def serve(self, stack: contextlib.AsyncExitStack) -> None:
         app = web.Application()
         app.router.add_post("/api/run-start", self._start)
@@ -124,6 +131,8 @@
 
     async def _hold(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if self.odd_answer is not None:
+            return web.Response(body=self.odd_answer)
         if body["fencing-token"] < self._fence:
             return self._answer(409, reason="fence")
         self._fence = body["fencing-token"]
@@ -166,6 +175,11 @@
                 stderr=log,
             )
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process has ended by itself."""
+        return self._process.poll() is not None
+
     def signal(self, number: int) -> None:
         self._process.send_signal(number)
 
@@ -195,6 +209,12 @@
     def control_url(self, number: int, path: str) -> str:
         return f"http://{self.fronts[number].ip}:{self._port + 3}{path}"
 
+    def heartbeat_url(self, number: int, runner: str) -> str:
+        """The address of a side process for heartbeats of a runner."""
+        ip = self.sides[number].ip
+        path = f"/api/instances/{runner}/heartbeat"
+        return f"http://{ip}:{self._port + 3}{path}"
+
     def metrics_url(self, process: Process) -> str:
         return f"http://{process.ip}:{self._port + 6}/metrics"
 
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -164,3 +164,27 @@
     path.write_text(text)
     with pytest.raises(problem_lib.SettingsError, match=r"boot\.toml"):
         settings_lib.load_settings(str(path))
+
+
+SETTINGS = 'node = "n"\nip = "10.0.0.1"\nzone = "z"\nport-range = [1, 2]\n'
+ODD_ADDRESSES = ["10.0.0.9:99999", "10.0.0.9", "[::1%x]:80", "x:80", ":", "9"]
+
+
+def _load(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return settings_lib.load_settings(str(path))
+
+
+def test_an_odd_seed_names_no_front_and_the_others_hold(tmp_path):
+    seeds = json.dumps([*ODD_ADDRESSES, "10.0.0.2:80"])
+    settings = _load(tmp_path, f"{SETTINGS}seeds = {seeds}\n")
+    assert settings_lib.list_seed_ips(settings) == ("10.0.0.2",)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+@pytest.mark.parametrize("key", ["front", "ready", "control"])
+def test_an_odd_address_to_listen_on_is_named(tmp_path, key, address):
+    text = f'{SETTINGS}[listen]\n{key} = "{address}"\n'
+    with pytest.raises(problem_lib.SettingsError, match=f"listen.{key}: "):
+        _load(tmp_path, text)
