Send an operator's request again that a new leader has refused

A front learns who leads the log as soon as that replica is elected, but the leader takes requests only once an entry of its own term is committed. A change or a read of the configuration that arrived in between was refused as "not the owner"; its front waited for a change of the leader, which did not come, until its 0.9 s were over, and the operator went on to another front.

Change: what the log's leader refuses so is sent to it again, 50 times a second at most, until the request's time is over. The order of the log makes that idempotent. Jobs are as before: their owner never refuses the term that it announced.

Test: test_request_that_a_new_leader_refuses_is_sent_again failed before.

--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -44,7 +44,14 @@
 
 
 class Target(abc.ABC):
-    """The front that answers: the owner of all jobs or the log's leader."""
+    """The front that answers: the owner of all jobs or the log's leader.
+
+    Attributes:
+        retries_refusals: Whether a request that the target refuses, since it
+            is not the target in its own view yet, is sent to it again.
+    """
+
+    retries_refusals = False
 
     @abc.abstractmethod
     def find_term(self) -> int:
@@ -162,6 +169,8 @@
         if request is None or request.reply.done():
             return
         if reply.verdict is scheduling.Verdict.NOT_OWNER:
+            if self._target.retries_refusals:
+                self._unsent.add(reply.request)
             return
         # After a resend the reply may come from the previous target.
         request.is_answered = not request.was_resent
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -78,7 +78,12 @@
 
 
 class LogTarget(requests_lib.Target):
-    """The front that leads the log."""
+    """The front that leads the log.
+
+    A new leader takes requests once an entry of its own term is committed.
+    """
+
+    retries_refusals = True
 
     def __init__(
         self,
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -125,6 +125,24 @@
     assert asyncio.run(main()) is scheduling.Verdict.COMPLETED
 
 
+# A leader that was just elected refuses; nothing sent the request to it again.
+def test_request_that_a_new_leader_refuses_is_sent_again():
+    async def main():
+        leader = FakeOwner()
+        leader.retries_refusals = True
+        requests = _create_requests(leader)
+        call = asyncio.create_task(requests.call(_build, 5, 5, 5))
+        await asyncio.sleep(0)
+        requests.handle_reply(_create_reply(scheduling.Verdict.NOT_OWNER))
+        requests.send_unsent()
+        requests.send_unsent()
+        assert [message.term for message in leader.sent] == [1, 1]
+        requests.handle_reply(_create_reply(scheduling.Verdict.ACCEPTED))
+        return (await call).verdict
+
+    assert asyncio.run(main()) is scheduling.Verdict.ACCEPTED
+
+
 @pytest.mark.parametrize("close", [False, True])
 def test_sent_request_without_a_reply_is_uncertain(close):
     async def act(owner, requests):
