Take any host name in an address, as before

A host is a word of letters, digits, dots and hyphens now. 150 passed with test_ownership_*.py, test_front_requests.py and test_platform_bodies.py.

--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections.abc
-import ipaddress
 import os
 import pathlib
+import re
 
 import eliot
 import msgspec
@@ -13,6 +13,7 @@
 from skylarkcleat import problem as problem_lib
 
 MAX_PORT = 65_535
+_HOST = re.compile(r"[\w.-]+", re.ASCII)
 PATH_VARIABLE = "SKYLARKCLEAT_SETTINGS"
 
 
@@ -117,10 +118,11 @@
     """Returns the IP number and the port of an `ip:port`.
 
     Raises:
-        ValueError: It is not an IP number and a port.
+        ValueError: It is not a host and a port.
     """
     host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
+    if not _HOST.fullmatch(host):
+        raise ValueError(f"{host!r} is not a host")
     number = int(port)
     if not 0 < number <= MAX_PORT:
         raise ValueError(f"{number} is not a port")
