Pass a fencing token of any size within a few seconds

The side process skipped a minute's worth of tokens at each refusal; with a token far ahead it never got there, and the runner stayed unused for good.

Change: each further skip is twice as long, and the first one is short again after an answer. Test: test_runners_are_used_after_they_saw_a_large_token, 2 of 3 failed before.

--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -27,7 +27,8 @@
 
 FENCED_EPOCH_STEP = 60_000
 """Epochs to skip if the runner has seen a larger fencing token: a previous
-process here may have had a clock that was a minute ahead."""
+process here may have had a clock that was a minute ahead. Each further skip is
+twice as long, so that any token is passed within a few seconds."""
 
 
 class Probes:
@@ -51,6 +52,7 @@
         self._reported_epoch = 0
         self._missed_probes = 0
         self._has_given_up = False
+        self._epoch_step = FENCED_EPOCH_STEP
 
     async def run(self) -> None:
         """Probes the runner while there is a lease."""
@@ -120,7 +122,8 @@
 
     def _handle_fenced(self) -> None:
         eliot.log_message("side:fenced", epoch=self._state.lease.epoch)
-        self._state.lease.skip_epochs(FENCED_EPOCH_STEP)
+        self._state.lease.skip_epochs(self._epoch_step)
+        self._epoch_step *= 2
         self._registration.register_with_known_owner()
 
     def _report_changes(
@@ -156,6 +159,7 @@
     def _record_answered_probe(self) -> None:
         self._missed_probes = 0
         self._has_given_up = False
+        self._epoch_step = FENCED_EPOCH_STEP
         if self._state.is_unresponsive:
             self._state.is_unresponsive = False
             self._report_responsiveness()
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -300,6 +300,10 @@
         self._ends.clear()
         self._last_ended_runs.clear()
 
+    def fence_off(self, token: int) -> None:
+        """Refuses all calls with a lower token from now on."""
+        self._fence = token
+
     def _schedule_expiry(self) -> None:
         """Ends what runs once the deadline has passed."""
         left_s = (self._deadline - self._clock()) / 1000 / self._drift
@@ -403,6 +407,14 @@
             await asyncio.sleep(TAKEOVER_S)
         await self._submit_late_jobs()
 
+    async def run_fenced_runners(self, token: int) -> None:
+        """Serves with runners that have seen a much larger fencing token."""
+        await self._open()
+        for runner in self.runners.values():
+            runner.fence_off(token)
+        await asyncio.sleep(RECOVERY_S)
+        await self._submit_late_jobs()
+
     async def run_owner_switch(self) -> None:
         """Lets a front go from one live owner to another while its job runs.
 
@@ -691,6 +703,14 @@
     return world
 
 
+def simulate_fenced_runners(seed: int, token: int, monkeypatch: t.Any) -> World:
+    """Simulates runners that another writer has given a large token."""
+    world = World(seed, NO_FAULTS)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_fenced_runners(token))
+    return world
+
+
 def simulate_owner_switch(seed: int, monkeypatch: t.Any) -> World:
     """Simulates a front that follows two live owners in turn."""
     world = World(seed, NO_FAULTS, fronts=3, sides=2)
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -73,3 +73,11 @@
     world = world_lib.simulate_runner_crashes(seed, count, monkeypatch)
     assert len(world.late_verdicts) == 9
     assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
+
+
+# Tokens rose by a minute at a time, so that a large one was never passed.
+@pytest.mark.parametrize("token", [10**6, 10**12, 2**52])
+def test_runners_are_used_after_they_saw_a_large_token(token, monkeypatch):
+    world = world_lib.simulate_fenced_runners(0, token, monkeypatch)
+    assert len(world.late_verdicts) == 9
+    assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
