Test capacities that shrink and grow while a runner works

The side process admits by the runner's latest heartbeat and the owner by the latest renewal, so this holds already; both tests pass on the code as it was.

--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -468,6 +468,23 @@
     assert len(_take_messages(owner, scheduling.Start, 0.1)) == 1
 
 
+def test_a_runner_whose_capacity_shrinks_gets_tasks_again_once_it_grows(owner):
+    epoch = _register(owner, runner=_runner(cpu=2000))
+    peer = session_lib.Endpoint("side-1", 1)
+
+    def renew(cpu, now):
+        runner = _runner(cpu=cpu)
+        owner.renew(peer, scheduling.Renew(epoch, now, runner), now)
+
+    owner.submit(FRONT, _submit(), QUEUE, 0.0)
+    assert len(_take_messages(owner, scheduling.Start, 0.0)) == 1
+    renew(1500, 0.1)
+    owner.submit(FRONT, _submit(2, job="0" * 15 + "1"), QUEUE, 0.1)
+    assert not _take_messages(owner, scheduling.Start, 0.1)
+    renew(2000, 0.2)
+    assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
+
+
 def test_tasks_of_a_lost_runner_start_on_another_one(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -37,6 +37,18 @@
     assert [run_table.admit(_order(t)) for t in "abc"] == ["", "", "room"]
 
 
+# LIMIT: a runner's capacity may shrink and grow again while it works.
+def test_a_capacity_that_shrinks_and_grows_holds_for_each_start(run_table):
+    assert run_table.admit(_order("a")) == ""
+    assert not run_table.update_runner(RUNNER._replace(cpu=500))
+    assert run_table.admit(_order("b", cpu=100)) == "room"
+    assert not run_table.update_runner(RUNNER._replace(cpu=1500))
+    assert run_table.admit(_order("b", cpu=500)) == ""
+    assert run_table.admit(_order("c", cpu=500)) == "room"
+    assert not run_table.update_runner(RUNNER)
+    assert run_table.admit(_order("c", cpu=500)) == ""
+
+
 def test_a_run_uses_capacity_until_its_end_is_reported(run_table):
     run_table.admit(_order("a", cpu=2000))
     run_table.record_started("a", 1, 1.0)
