Split the owner's reports and the probe's results into modules of their own

What side processes report is handled by SideReports, behind one method of the owner in place of five; a probe's results are plain data in probe_result.py. Tests through real processes share one fixture for their fleets and one heartbeat, which stood three times and twice.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -180,16 +180,8 @@
             owner.abandon(peer, message.request)
         elif isinstance(message, scheduling.Renew):
             owner.renew(peer, message, now)
-        elif isinstance(message, scheduling.Report):
-            owner.handle_report(peer.name, message, now)
-        elif isinstance(message, scheduling.Ended):
-            owner.handle_ended(peer.name, message, now)
-        elif isinstance(message, scheduling.NotStarted):
-            owner.handle_not_started(peer.name, message, now)
-        elif isinstance(message, scheduling.RunnerUnresponsive):
-            owner.handle_runner_silent(peer.name, message, now)
-        elif isinstance(message, scheduling.RunnerLost):
-            owner.handle_runner_lost(peer.name, message, now)
+        elif isinstance(message, scheduling.SideReport):
+            owner.handle_side_report(peer.name, message, now)
 
     def _reply(
         self,
--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -10,7 +10,7 @@
 
 from skylarkcleat.platform import json_body
 from skylarkcleat.protocol import scheduling
-from skylarkcleat.scheduling import run_table
+from skylarkcleat.scheduling import probe_result
 
 MAX_LABELS = 64
 _DRAINING = "draining"
@@ -176,9 +176,9 @@
 
 def create_probe_result(
     held: HoldAnswer, asked_at: float, answered_at: float
-) -> run_table.ProbeResult:
+) -> probe_result.ProbeResult:
     """Converts an answer to a hold for the table of runs."""
-    return run_table.ProbeResult(
+    return probe_result.ProbeResult(
         asked_at,
         answered_at,
         held.clock_ms,
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -430,21 +430,20 @@
     runs: tuple[Run, ...] = ()
 
 
+SideReport = Report | Ended | NotStarted | RunnerUnresponsive | RunnerLost
+"""What a side process tells its owner of its runner and of the runs there."""
+
 LogMessage = PutConfiguration | ReadConfiguration
 FrontMessage = Submit | Abandon | JobRequest | LogMessage | Reply
 SideMessage = (
     Register
     | Grant
-    | Report
     | Renew
     | Renewed
     | Unregistered
     | Start
     | Adopt
     | Stop
-    | NotStarted
-    | Ended
     | EndsAcknowledged
-    | RunnerUnresponsive
-    | RunnerLost
+    | SideReport
 )
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -23,6 +23,7 @@
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import run_endings as run_endings_lib
+from skylarkcleat.scheduling import side_reports as side_reports_lib
 from skylarkcleat.scheduling import starts as starts_lib
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.scheduling import workers as workers_lib
@@ -62,8 +63,11 @@
         self._workers = state.workers
         self._jobs = state.jobs
         self._job_endings = job_endings_lib.JobEndings(state, now)
-        self._run_endings = run_endings_lib.RunEndings(state, self._job_endings)
+        run_endings = run_endings_lib.RunEndings(state, self._job_endings)
         self._adoption = adoption_lib.Adoption(state)
+        self._side_reports = side_reports_lib.SideReports(
+            state, self._adoption, run_endings
+        )
         self._starts = starts_lib.Starts(state)
 
     @property
@@ -175,25 +179,6 @@
         worker = self._workers.register(peer, message, now)
         self.outbox.send(peer, scheduling.Grant(worker.epoch, message.sent_at))
 
-    def handle_report(
-        self, side: str, message: scheduling.Report, now: float
-    ) -> None:
-        """Handles a side process's full report of its runs and their ends."""
-        worker = self._workers.find(side, message.epoch)
-        if worker is None:
-            return
-        self._run_endings.record(worker, message.ends, now)
-        running = {run.task: run for run in message.running}
-        for placed in list(worker.runs.values()):
-            run = running.get(placed.task)
-            if run is None or run.run != placed.run:
-                self._run_endings.record_missing(worker, placed, now)
-        worker.unresponsive_since = None
-        for run in running.values():
-            self._adoption.record_running(worker, run, now)
-        self._workers.record_report(worker)
-        self._jobs.needs_placement = True
-
     def renew(
         self,
         peer: session_lib.Endpoint,
@@ -213,72 +198,11 @@
             peer, scheduling.Renewed(message.epoch, message.sent_at)
         )
 
-    def handle_ended(
-        self, side: str, message: scheduling.Ended, now: float
+    def handle_side_report(
+        self, side: str, message: scheduling.SideReport, now: float
     ) -> None:
-        """Handles the ends of runs."""
-        worker = self._workers.find(side, message.epoch)
-        if worker is not None:
-            self._run_endings.record(worker, message.ends, now)
-
-    def handle_not_started(
-        self, side: str, message: scheduling.NotStarted, now: float
-    ) -> None:
-        """Handles a run that did not start and never will."""
-        worker = self._workers.find(side, message.epoch)
-        if worker is None:
-            return
-        placed = worker.runs.get(message.task)
-        if placed is None or placed.run != message.run:
-            return
-        if message.reason == scheduling.UNANSWERED:
-            self._run_endings.record_lost(worker, placed, now, is_certain=False)
-            return
-        worker.remove(message.task, message.run)
-        self._jobs.requeue_task(placed, worker.side)
-        job = self._jobs.find(message.task)
-        if job is not None:
-            job.record(
-                message.task, message.run, worker.side, message.reason, now
-            )
-        if message.reason == "old":
-            self._jobs.skip_runs(message.task)
-        else:
-            worker.record_refusal(message.reason, now)
-
-    def handle_runner_silent(
-        self, side: str, message: scheduling.RunnerUnresponsive, now: float
-    ) -> None:
-        """Records whether a runner responds; otherwise it gets no tasks."""
-        worker = self._workers.find(side, message.epoch)
-        if worker is not None:
-            since = now if message.is_unresponsive else None
-            worker.unresponsive_since = since
-            self._jobs.needs_placement = True
-
-    def handle_runner_lost(
-        self, side: str, message: scheduling.RunnerLost, now: float
-    ) -> None:
-        """Requeues the tasks of an unresponsive runner; they have expired.
-
-        As the first report under a lease it covers every earlier run there.
-        """
-        worker = self._workers.find(side, message.epoch)
-        if worker is None:
-            return
-        lost = {(run.task, run.run) for run in message.runs}
-        is_report = worker.phase is worker_lib.Phase.REPORTING
-        for placed in list(worker.runs.values()):
-            is_certain = (placed.task, placed.run) in lost
-            if is_report or is_certain:
-                self._run_endings.record_lost(
-                    worker, placed, now, is_certain=is_certain
-                )
-        if worker.unresponsive_since is None:
-            # Its side process has told only the owner that it had then.
-            worker.unresponsive_since = now
-        self._workers.record_report(worker)
-        self._jobs.needs_placement = True
+        """Handles what a side process reports of its runner and its runs."""
+        self._side_reports.receive(side, message, now)
 
     def tick(self, now: float) -> None:
         """Applies timeouts; to be called several times a second."""
--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -7,65 +7,16 @@
 
 from __future__ import annotations
 
-import typing as t
-
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
+from skylarkcleat.scheduling import probe_result
 
 MAX_OVERTAKEN_MS = 1000
 """How far a later answer can be ahead, in milliseconds of the runner's clock: a
 probe times out earlier. A clock that is set back further has started anew."""
 
 
-class ProbeResult(t.NamedTuple):
-    """A runner's answer to a probe for its runs.
-
-    The answers to two probes may arrive in another order than the runner gave
-    them in.
-
-    Attributes:
-        asked_at: When the probe was sent, in seconds.
-        answered_at: When the answer arrived, in seconds.
-        clock_ms: The runner's clock when it answered.
-        born_ms: The start time of the runner, which identifies its
-            incarnation.
-        running: The name and the run number of each task that runs.
-        ends: The ends that the runner still lists.
-    """
-
-    asked_at: float
-    answered_at: float
-    clock_ms: int
-    born_ms: int
-    running: tuple[tuple[str, int], ...]
-    ends: tuple[scheduling.End, ...]
-
-
-class RunChanges(t.NamedTuple):
-    """What a probe changed.
-
-    Attributes:
-        ends: Ends that the owner has not acknowledged.
-        missing: Runs that have not started and never will.
-    """
-
-    ends: tuple[scheduling.End, ...]
-    missing: tuple[local_run.LocalRun, ...]
-
-
-class LostRuns(t.NamedTuple):
-    """The runs of a runner that was given up.
-
-    Attributes:
-        started: Those that are known to have started.
-        unanswered: Those whose start got no answer.
-    """
-
-    started: tuple[scheduling.Run, ...]
-    unanswered: tuple[scheduling.Run, ...]
-
-
 class RunTable:
     """The runs of one runner.
 
@@ -207,14 +158,16 @@
         self._set_conclusive(task, run, now)
         self.adopt(task, run)
 
-    def apply_probe(self, result: ProbeResult) -> RunChanges:
+    def apply_probe(
+        self, result: probe_result.ProbeResult
+    ) -> probe_result.RunChanges:
         """Applies a probe's result: adds, confirms and removes runs.
 
         A result that a later one has overtaken changes nothing.
         """
         self._detect_restart(result.born_ms)
         if 0 < self._clock_ms - result.clock_ms < MAX_OVERTAKEN_MS:
-            return RunChanges((), ())
+            return probe_result.RunChanges((), ())
         self._clock_ms = result.clock_ms
         running = dict(result.running)
         ends = tuple(
@@ -238,20 +191,20 @@
         self._last_reported = max(
             [self._last_reported, *(end.number for end in ends)]
         )
-        return RunChanges(ends, tuple(missing))
+        return probe_result.RunChanges(ends, tuple(missing))
 
     def list_running(self) -> tuple[scheduling.Run, ...]:
         """Returns the runs for a report to the owner."""
         return tuple(known.describe() for known in self.runs.values())
 
-    def give_up(self) -> LostRuns:
+    def give_up(self) -> probe_result.LostRuns:
         """Removes and returns all runs: the runner is lost."""
         started, unanswered = [], []
         for known in self.runs.values():
             is_started = known.state is local_run.RunState.STARTED
             (started if is_started else unanswered).append(known.describe())
         self.runs.clear()
-        return LostRuns(tuple(started), tuple(unanswered))
+        return probe_result.LostRuns(tuple(started), tuple(unanswered))
 
     def record_acknowledged(self, number: int) -> None:
         """Records that the owner has acknowledged ends up to a number."""
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -11,7 +11,7 @@
 from skylarkcleat.platform import runner_client
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
-from skylarkcleat.scheduling import run_table as run_table_lib
+from skylarkcleat.scheduling import probe_result
 from skylarkcleat.side import registration as registration_lib
 from skylarkcleat.side import state as state_lib
 
@@ -81,7 +81,7 @@
         self._has_given_up = False
         self._state.spawn(self.probe(0))
 
-    async def probe(self, wait_ms: int) -> run_table_lib.RunChanges | None:
+    async def probe(self, wait_ms: int) -> probe_result.RunChanges | None:
         """Probes the runner for its runs and reports changes to the owner.
 
         Args:
@@ -127,7 +127,7 @@
         self._registration.register_with_known_owner()
 
     def _report_changes(
-        self, epoch: int, changes: run_table_lib.RunChanges
+        self, epoch: int, changes: probe_result.RunChanges
     ) -> None:
         send_owner = self._state.send_owner
         if self._reported_epoch != epoch:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import gc
 import os
 
@@ -8,6 +9,7 @@
 
 from tests import fleet as fleet_lib
 from tests import known_red
+from tests import platform_fleet
 
 # Without any destination eliot holds every line for the first one that comes.
 eliot.add_destinations(lambda _: None)
@@ -66,3 +68,35 @@
     eliot.add_destinations(lines.append)
     yield lines
     eliot.remove_destination(lines.append)
+
+
+@pytest.fixture
+def run_with_fleet(tmp_path, worker_block):
+    """Runs a coroutine function beside fronts and side processes.
+
+    It gets a client, whose `fleet.stack` closes what it adds.
+    """
+
+    def run(act):
+        async def main():
+            fleet = platform_fleet.open_fleet(tmp_path, worker_block)
+            async with fleet as client:
+                await act(client)
+
+        asyncio.run(main())
+
+    return run
+
+
+@pytest.fixture
+def run_with_configured_fleet(run_with_fleet):
+    """Does the same once there is a configuration and jobs are served."""
+
+    def run(act):
+        async def configure_and_act(client):
+            await client.configure()
+            await act(client)
+
+        run_with_fleet(configure_and_act)
+
+    return run
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -22,6 +22,20 @@
 START_TIMEOUT_S = 30.0
 _POLL_S = 0.05
 _HEARTBEAT_S = 0.3
+HEARTBEAT = {
+    "service": "huvo",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock-ms": 482113,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+"""What a runner says of itself."""
 
 
 class FakeRunner:
@@ -201,6 +215,7 @@
         self.sides: list[Process] = []
         self.runners: list[FakeRunner] = []
         self._block = ip_block
+        self._stack: contextlib.AsyncExitStack
         self._port = 21000
 
     def front_url(self, number: int, path: str) -> str:
@@ -223,6 +238,7 @@
         return f"http://{ip}:{self._port + 4}/api/ready"
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
+        self._stack = stack
         for number in range(4):
             front = self._create_front(number, number < 3, bootstrap=True)
             self.fronts.append(front)
@@ -239,12 +255,12 @@
         for process in [*self.fronts, *self.sides]:
             process.start()
 
-    def add_front(self, stack: contextlib.AsyncExitStack) -> int:
+    def add_front(self) -> int:
         """Starts a front with an empty disk; returns its number."""
         number = len(self.fronts)
         front = self._create_front(number, has_disk=True, bootstrap=False)
         self.fronts.append(front)
-        stack.callback(front.kill)
+        self._stack.callback(front.kill)
         front.start()
         return number
 
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -237,7 +237,7 @@
         self._epochs[runner] = epoch
         self._ends[runner] = 0
         report = scheduling.Report(epoch, (), ())
-        self.owner.handle_report(peer.name, report, now)
+        self.owner.handle_side_report(peer.name, report, now)
 
     def _renew(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
@@ -357,7 +357,7 @@
     def _fall_silent(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
             message = scheduling.RunnerUnresponsive(self._epochs[runner], True)
-            self.owner.handle_runner_silent(f"side-{runner}", message, now)
+            self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
 
@@ -369,7 +369,7 @@
                 scheduling.Run(task, run, 1, 1, 0) for _, task, run in lost
             )
             message = scheduling.RunnerLost(self._epochs[runner], runs)
-            self.owner.handle_runner_lost(f"side-{runner}", message, now)
+            self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
 
@@ -396,7 +396,7 @@
                 self._ends[runner], start.task, start.run, ending
             )
             ended = scheduling.Ended(start.epoch, (end,))
-            self.owner.handle_ended(f"side-{runner}", ended, now)
+            self.owner.handle_side_report(f"side-{runner}", ended, now)
 
         return act
 
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -14,19 +14,6 @@
 
 ID = "5c0e7a21d94b36f8"
 STEP = {"task-count": 2, "cpu": 500, "mem-mb": 64, "estimated-ms": 90}
-HEARTBEAT = {
-    "service": "huvo",
-    "address": "10.0.0.9:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clock-ms": 482113,
-    "sequence": 4,
-    "born": 1700000000000,
-}
 
 
 def _job(**changes):
@@ -106,7 +93,7 @@
 
 def test_decodes_a_heartbeat():
     heartbeat = runner_body.decode_heartbeat(
-        "i-1", json.dumps(HEARTBEAT).encode()
+        "i-1", json.dumps(platform_fleet.HEARTBEAT).encode()
     )
     assert heartbeat.runner == scheduling.Runner(
         "i-1",
@@ -125,9 +112,9 @@
     [
         b"\x80",
         b"{}",
-        json.dumps(HEARTBEAT | {"state": "resting"}).encode(),
-        json.dumps(HEARTBEAT | {"capacity": 4}).encode(),
-        json.dumps(HEARTBEAT | {"sequence": "4"}).encode(),
+        json.dumps(platform_fleet.HEARTBEAT | {"state": "resting"}).encode(),
+        json.dumps(platform_fleet.HEARTBEAT | {"capacity": 4}).encode(),
+        json.dumps(platform_fleet.HEARTBEAT | {"sequence": "4"}).encode(),
     ],
 )
 def test_rejects_an_invalid_heartbeat(body):
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -3,11 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-
-import pytest
-
-from tests import platform_fleet
 
 SUCCESSOR_DELAY_S = 1.0
 CATCH_UP_S = 4.0
@@ -19,21 +14,6 @@
 elect a leader."""
 
 
-@pytest.fixture
-def run_with_fleet(tmp_path, worker_block):
-    def run(act):
-        async def main():
-            async with contextlib.AsyncExitStack() as stack:
-                fleet = platform_fleet.open_fleet(tmp_path, worker_block)
-                client = await stack.enter_async_context(fleet)
-                await client.configure()
-                await act(client, stack)
-
-        asyncio.run(main())
-
-    return run
-
-
 async def _put_soon(client, front, version):
     async with asyncio.timeout(ACKNOWLEDGED_S):
         return await client.put(front, version)
@@ -42,13 +22,13 @@
 # A lost voter that stayed a voter beside its successor: one more loss left two
 # of four, and the configuration could not be changed or read any more.
 def test_second_loss_after_a_replacement_leaves_the_log_a_majority(
-    run_with_fleet,
+    run_with_configured_fleet,
 ):
-    async def act(client, stack):
+    async def act(client):
         fleet = client.fleet
         fleet.fronts[1].kill()
         await asyncio.sleep(SUCCESSOR_DELAY_S)
-        successor = fleet.add_front(stack)
+        successor = fleet.add_front()
         await asyncio.sleep(CATCH_UP_S)
         assert (await _put_soon(client, 2, 2))[0] == 200
         fleet.fronts[0].kill()
@@ -57,4 +37,4 @@
         status, found = await client.call("GET", url)
         assert (status, found["version"]) == (200, 3)
 
-    run_with_fleet(act)
+    run_with_configured_fleet(act)
--- a/tests/test_platform_odd_bodies.py
+++ b/tests/test_platform_odd_bodies.py
@@ -20,19 +20,6 @@
 DEEP = b"[" * 100_000 + b"]" * 100_000
 HUGE = b"9" * 5_000
 
-HEARTBEAT = {
-    "service": "huvo",
-    "address": "10.0.0.9:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clock-ms": 482113,
-    "sequence": 4,
-    "born": 1_700_000_000_000,
-}
 HELD = {
     "clock-ms": 482113,
     "born": 1_700_000_000_000,
@@ -58,7 +45,7 @@
 
 
 DECODERS = [
-    (decode_heartbeat, HEARTBEAT, runner_body.RunnerError),
+    (decode_heartbeat, platform_fleet.HEARTBEAT, runner_body.RunnerError),
     (runner_body.decode_hold_answer, HELD, runner_body.RunnerError),
     (decode_answer, ANSWER, runner_body.RunnerError),
     (decode_job, JOB, job_body.JobError),
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 
 import pytest
@@ -15,21 +14,6 @@
 """For how long every runner answers oddly: longer than a lease."""
 
 
-@pytest.fixture
-def run_with_fleet(tmp_path, worker_block):
-    def run(act):
-        async def main():
-            async with contextlib.AsyncExitStack() as stack:
-                fleet = platform_fleet.open_fleet(tmp_path, worker_block)
-                client = await stack.enter_async_context(fleet)
-                await client.configure()
-                await act(client)
-
-        asyncio.run(main())
-
-    return run
-
-
 def list_odd(template):
     for odd in bodies.ODD_VALUES.values():
         for path in bodies.list_places(template):
@@ -47,14 +31,14 @@
 
 def describe(runner):
     """Returns the heartbeat of a runner, as another writer may copy it."""
-    return bodies.HEARTBEAT | {
+    return platform_fleet.HEARTBEAT | {
         "service": platform_fleet.SERVICE,
         "address": f"{runner.ip}:{runner.port}",
         "born": runner.born_ms,
     }
 
 
-def test_odd_heartbeats_end_no_side_process(run_with_fleet):
+def test_odd_heartbeats_end_no_side_process(run_with_configured_fleet):
     async def act(client):
         fleet = client.fleet
         for number, runner in enumerate(fleet.runners):
@@ -65,7 +49,7 @@
                     assert status == 200
         await check_served(client)
 
-    run_with_fleet(act)
+    run_with_configured_fleet(act)
 
 
 # Later heartbeats of the runner itself were passed over as outdated.
@@ -82,7 +66,7 @@
     ids=str,
 )
 def test_runners_are_followed_after_an_odd_entry(
-    run_with_fleet, changes, is_copy
+    run_with_configured_fleet, changes, is_copy
 ):
     async def act(client):
         fleet = client.fleet
@@ -99,14 +83,14 @@
         for runner in fleet.runners:
             assert not [s for s in runner.starts if "f1." in s[0]]
 
-    run_with_fleet(act)
+    run_with_configured_fleet(act)
 
 
 ODD_IDS = ("a%0d%0ab", "%00", "%f0%9f%98%80", "x" * 7000, "%20")
 
 
 # The id of another writer's runner is sent back in a header.
-def test_odd_ids_end_no_side_process(run_with_fleet):
+def test_odd_ids_end_no_side_process(run_with_configured_fleet):
     async def act(client):
         fleet = client.fleet
         for number, runner in enumerate(fleet.runners):
@@ -117,7 +101,7 @@
         await asyncio.sleep(ODD_S)
         await check_served(client)
 
-    run_with_fleet(act)
+    run_with_configured_fleet(act)
 
 
 ODD_ANSWERS = (
@@ -130,7 +114,7 @@
 )
 
 
-def test_odd_answers_of_runners_end_no_side_process(run_with_fleet):
+def test_odd_answers_of_runners_end_no_side_process(run_with_configured_fleet):
     async def act(client):
         for answer in ODD_ANSWERS:
             for runner in client.fleet.runners:
@@ -140,4 +124,4 @@
                 runner.odd_answer = None
             await check_served(client)
 
-    run_with_fleet(act)
+    run_with_configured_fleet(act)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,24 +5,9 @@
 import asyncio
 import json
 
-import pytest
-
 from tests import platform_fleet
 
 
-@pytest.fixture
-def run_with_fleet(tmp_path, worker_block):
-    def run(act):
-        async def main():
-            fleet = platform_fleet.open_fleet(tmp_path, worker_block)
-            async with fleet as client:
-                await act(client)
-
-        asyncio.run(main())
-
-    return run
-
-
 def _list_starts(client):
     return [s for runner in client.fleet.runners for s in runner.starts]
 
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -55,7 +55,9 @@
 
 def _register(owner, side="side-1", runner=None, now=0.0, running=()):
     epoch = _request_lease(owner, side, now, runner)
-    owner.handle_report(side, scheduling.Report(epoch, tuple(running), ()), now)
+    owner.handle_side_report(
+        side, scheduling.Report(epoch, tuple(running), ()), now
+    )
     return epoch
 
 
@@ -119,9 +121,9 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
     first, second = _take_messages(owner, scheduling.Start, 0.0)
-    owner.handle_ended("side-1", _end(epoch, first), 0.1)
+    owner.handle_side_report("side-1", _end(epoch, first), 0.1)
     assert not _take_messages(owner, scheduling.Reply)
-    owner.handle_ended("side-1", _end(epoch, second, number=2), 0.2)
+    owner.handle_side_report("side-1", _end(epoch, second, number=2), 0.2)
     replies = _take_messages(owner, scheduling.Reply)
     assert [r.verdict for r in replies] == [scheduling.Verdict.COMPLETED]
     assert [
@@ -135,7 +137,7 @@
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     owner.submit(OTHER_FRONT, _submit(request=9), QUEUE, 0.05)
     assert not _take_messages(owner, scheduling.Start, 0.05)
-    owner.handle_ended("side-1", _end(epoch, start), 0.1)
+    owner.handle_side_report("side-1", _end(epoch, start), 0.1)
     assert {r.request for r in _take_messages(owner, scheduling.Reply)} == {
         1,
         9,
@@ -146,7 +148,7 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(request=1), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
-    owner.handle_ended("side-1", _end(epoch, start), 0.1)
+    owner.handle_side_report("side-1", _end(epoch, start), 0.1)
     _take_messages(owner, scheduling.Reply)
     owner.submit(OTHER_FRONT, _submit(request=2), QUEUE, 1.5)
     assert not _take_messages(owner, scheduling.Start, 1.5)
@@ -228,7 +230,9 @@
     owner.tick(now)
     assert not _take_messages(owner, scheduling.Start, now)
     running = (scheduling.Run(TASK, 1, 1000, 64, 0),)
-    owner.handle_report("side-2", scheduling.Report(other, running, ()), now)
+    owner.handle_side_report(
+        "side-2", scheduling.Report(other, running, ()), now
+    )
     assert not _take_messages(owner, scheduling.Start, now)
 
 
@@ -253,7 +257,7 @@
 def test_a_report_from_before_a_handover_does_not_count_after_it(owner):
     epoch = _register(owner)
     owner.extend(["side-1"], 1.0)
-    owner.handle_report("side-1", scheduling.Report(epoch, (), ()), 1.0)
+    owner.handle_side_report("side-1", scheduling.Report(epoch, (), ()), 1.0)
     assert not owner.is_settled(1.0)
     _register(owner, now=1.0)
     assert owner.is_settled(1.0)
@@ -271,7 +275,7 @@
             owner.submit(FRONT, submit, QUEUE, 10.2)
         assert not _take_messages(owner, scheduling.Start, 10.2)
         start = scheduling.Start(epoch, TASK, 3, "spec", 0, 0, 0)
-        owner.handle_ended("side-1", _end(epoch, start), 10.3)
+        owner.handle_side_report("side-1", _end(epoch, start), 10.3)
         (reply,) = _take_messages(owner, scheduling.Reply)
         assert reply.verdict is scheduling.Verdict.COMPLETED
 
@@ -281,7 +285,9 @@
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
     epoch = _request_lease(owner, "side-1", 10.0)
     done = scheduling.End(4, TASK, 1, scheduling.Ending.DONE)
-    owner.handle_report("side-1", scheduling.Report(epoch, (), (done,)), 10.1)
+    owner.handle_side_report(
+        "side-1", scheduling.Report(epoch, (), (done,)), 10.1
+    )
     (reply,) = _take_messages(owner, scheduling.Reply)
     assert reply.verdict is scheduling.Verdict.COMPLETED
     assert not _take_messages(owner, scheduling.Start, 10.1)
@@ -305,7 +311,7 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     _register(owner, now=0.1, running=[scheduling.Run(TASK, 1, 1000, 64, 0)])
-    owner.handle_ended("side-1", _end(previous, start), 0.2)
+    owner.handle_side_report("side-1", _end(previous, start), 0.2)
     assert not _take_messages(owner, scheduling.Reply)
 
 
@@ -329,7 +335,7 @@
         for start in _take_messages(owner, scheduling.Start, now):
             refused += 1
             answer = scheduling.NotStarted(epoch, start.task, start.run, reason)
-            owner.handle_not_started("side-1", answer, now)
+            owner.handle_side_report("side-1", answer, now)
     assert refused == 2
 
 
@@ -338,9 +344,9 @@
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
     first, second = _take_messages(owner, scheduling.Start, 0.0)
     answer = scheduling.NotStarted(epoch, second.task, second.run, "room")
-    owner.handle_not_started("side-1", answer, 0.01)
+    owner.handle_side_report("side-1", answer, 0.01)
     assert not _take_messages(owner, scheduling.Start, 0.01)
-    owner.handle_ended("side-1", _end(epoch, first), 0.02)
+    owner.handle_side_report("side-1", _end(epoch, first), 0.02)
     assert len(_take_messages(owner, scheduling.Start, 0.02)) == 1
 
 
@@ -348,13 +354,13 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (first,) = _take_messages(owner, scheduling.Start, 0.0)
-    owner.handle_ended(
+    owner.handle_side_report(
         "side-1", _end(epoch, first, scheduling.Ending.FAILED), 0.1
     )
     epoch = _register(owner, "side-2", _runner("i-2"), now=0.1)
     (second,) = _take_messages(owner, scheduling.Start, 0.2)
     assert second.epoch == epoch
-    owner.handle_ended(
+    owner.handle_side_report(
         "side-2", _end(epoch, second, scheduling.Ending.FAILED), 0.3
     )
     (reply,) = _take_messages(owner, scheduling.Reply)
@@ -368,8 +374,8 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (first,) = _take_messages(owner, scheduling.Start, 0.0)
     failed = _end(epoch, first, scheduling.Ending.FAILED)
-    owner.handle_ended("side-1", failed, 0.1)
-    owner.handle_ended("side-1", failed, 0.1)
+    owner.handle_side_report("side-1", failed, 0.1)
+    owner.handle_side_report("side-1", failed, 0.1)
     assert not _take_messages(owner, scheduling.Reply)
 
 
@@ -382,7 +388,7 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     for number in range(1, 5):
         (start,) = _take_messages(owner, scheduling.Start, 0.01 * number)
-        owner.handle_ended(
+        owner.handle_side_report(
             "side-1", _end(epoch, start, ending, number), 0.01 * number
         )
     assert not _take_messages(owner, scheduling.Reply)
@@ -393,7 +399,7 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     refused = scheduling.NotStarted(epoch, start.task, start.run, "old")
-    owner.handle_not_started("side-1", refused, 0.01)
+    owner.handle_side_report("side-1", refused, 0.01)
     (again,) = _take_messages(owner, scheduling.Start, 0.01)
     assert again.run > start.run + 1
 
@@ -447,22 +453,26 @@
     epoch = _request_lease(owner, "side-1", now)
     for ending in (scheduling.Ending.LAPSED, scheduling.Ending.STOPPED):
         end = scheduling.End(4, TASK, start.run, ending)
-        owner.handle_report("side-1", scheduling.Report(epoch, (), (end,)), now)
+        owner.handle_side_report(
+            "side-1", scheduling.Report(epoch, (), (end,)), now
+        )
         assert not _take_messages(owner, scheduling.Start, now)
     running = (scheduling.Run(TASK, start.run, 1000, 64, 0),)
-    owner.handle_report("side-1", scheduling.Report(epoch, running, ()), now)
-    owner.handle_report("side-1", scheduling.Report(epoch, (), ()), now)
+    owner.handle_side_report(
+        "side-1", scheduling.Report(epoch, running, ()), now
+    )
+    owner.handle_side_report("side-1", scheduling.Report(epoch, (), ()), now)
     assert not _take_messages(owner, scheduling.Start, now)
 
 
 def test_an_unresponsive_runner_gets_no_tasks_until_it_answers(owner):
     epoch = _register(owner)
-    owner.handle_runner_silent(
+    owner.handle_side_report(
         "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
     )
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     assert not _take_messages(owner, scheduling.Start, 0.0)
-    owner.handle_runner_silent(
+    owner.handle_side_report(
         "side-1", scheduling.RunnerUnresponsive(epoch, False), 0.1
     )
     assert len(_take_messages(owner, scheduling.Start, 0.1)) == 1
@@ -489,14 +499,14 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
-    owner.handle_runner_silent(
+    owner.handle_side_report(
         "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
     )
     _register(owner, "side-2", _runner("i-2"), now=0.1)
     assert not _take_messages(owner, scheduling.Start, 0.1)
     lost = scheduling.Run(start.task, start.run, 1000, 64, 0)
     message = scheduling.RunnerLost(epoch, (lost,))
-    owner.handle_runner_lost("side-1", message, 0.2)
+    owner.handle_side_report("side-1", message, 0.2)
     (again,) = _take_messages(owner, scheduling.Start, 0.2)
     assert again.task == start.task
     assert again.run > start.run
@@ -508,10 +518,10 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, scheduling.Start, 0.0)
     _register(owner, "side-2", _runner("i-2"), now=0.1)
-    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch), 0.2)
+    owner.handle_side_report("side-1", scheduling.RunnerLost(epoch), 0.2)
     assert not _take_messages(owner, scheduling.Start, 0.2)
     refusal = scheduling.NotStarted(epoch, start.task, start.run, "silent")
-    owner.handle_not_started("side-1", refusal, 0.2)
+    owner.handle_side_report("side-1", refusal, 0.2)
     assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
 
 
@@ -519,7 +529,7 @@
     owner = _create_successor(["side-1"], 10.0)
     epoch = _request_lease(owner, "side-1", 10.1)
     assert not owner.is_settled(10.2)
-    owner.handle_runner_lost("side-1", scheduling.RunnerLost(epoch), 10.2)
+    owner.handle_side_report("side-1", scheduling.RunnerLost(epoch), 10.2)
     assert owner.is_settled(10.2)
     owner.submit(FRONT, _submit(), QUEUE, 10.2)
     assert not _take_messages(owner, scheduling.Start, 10.2)
@@ -605,15 +615,21 @@
     second = _request_lease(owner, "side-2", 0.0)
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 0.0)
     run = scheduling.Run(TASK, 1, 1000, 64, 0)
-    owner.handle_report("side-1", scheduling.Report(first, (run,), ()), 0.0)
+    owner.handle_side_report(
+        "side-1", scheduling.Report(first, (run,), ()), 0.0
+    )
     other = run._replace(run=2)
-    owner.handle_report("side-2", scheduling.Report(second, (other,), ()), 0.0)
+    owner.handle_side_report(
+        "side-2", scheduling.Report(second, (other,), ()), 0.0
+    )
     assert [stop.run for stop in _take_messages(owner, scheduling.Stop)] == [2]
     missing = scheduling.NotStarted(first, TASK, 1, "gone")
-    owner.handle_not_started("side-1", missing, 0.1)
+    owner.handle_side_report("side-1", missing, 0.1)
     assert not _take_messages(owner, scheduling.Start, 0.1)
     stopped = scheduling.End(1, TASK, 2, scheduling.Ending.STOPPED)
-    owner.handle_ended("side-2", scheduling.Ended(second, (stopped,)), 0.2)
+    owner.handle_side_report(
+        "side-2", scheduling.Ended(second, (stopped,)), 0.2
+    )
     assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
 
 
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -5,6 +5,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
+from skylarkcleat.scheduling import probe_result
 from skylarkcleat.scheduling import run_table as run_table_lib
 
 RUNNER = scheduling.Runner("i-1", 7, "desk", 2000, 1024, 0, ("a",), False)
@@ -17,7 +18,7 @@
 def _probe(asked_at, running=(), ends=(), born_ms=7, answered_at=None):
     answered_at = asked_at if answered_at is None else answered_at
     clock_ms = round(answered_at * 1000)
-    return run_table_lib.ProbeResult(
+    return probe_result.ProbeResult(
         asked_at, answered_at, clock_ms, born_ms, tuple(running), tuple(ends)
     )
 
--- a/tests/test_scheduling_speed.py
+++ b/tests/test_scheduling_speed.py
@@ -21,7 +21,7 @@
     )
     register = scheduling.Register("side-1", "z", 1, runner, 0.0)
     owner.register(SIDE, register, 0.0)
-    owner.handle_report("side-1", scheduling.Report(1, (), ()), 0.0)
+    owner.handle_side_report("side-1", scheduling.Report(1, (), ()), 0.0)
     owner.workers["side-1"].open_at = 0.0
 
 
@@ -44,7 +44,7 @@
         scheduling.End(number, start.task, start.run, scheduling.Ending.DONE)
         for number, start in enumerate(starts, 1)
     )
-    owner.handle_ended("side-1", scheduling.Ended(1, ends), 0.1 * slower)
+    owner.handle_side_report("side-1", scheduling.Ended(1, ends), 0.1 * slower)
     factor = owner.workers["side-1"].speed.find_factor(0.1 * slower)
     assert 0.6 * slower < factor < 1.4 * slower
 
