Give the log's writes a class of their own

driver.py held the loop, the thread and the queue of writes beside everything else; they are consensus/writer.py now, a context manager that owns the thread.

--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import concurrent.futures
 import contextlib
 import random
 import typing as t
@@ -31,6 +30,7 @@
 from skylarkcleat.consensus import state_machine as state_machine_lib
 from skylarkcleat.consensus import status as status_lib
 from skylarkcleat.consensus import status_log as status_log_lib
+from skylarkcleat.consensus import writer as writer_lib
 
 _Answer = log_lib.Applied | log_lib.NotLeader | log_lib.Uncertain
 
@@ -60,7 +60,6 @@
         self._state_machine = state_machine
         self._random = generator
         self._inbox: asyncio.Queue[event_lib.Event] = asyncio.Queue()
-        self._batches: asyncio.Queue[event_lib.Batch] = asyncio.Queue()
         self._pending_calls = pending_calls_lib.PendingCalls()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -73,7 +72,7 @@
             *self._links.tasks,
             asyncio.create_task(self._run()),
             asyncio.create_task(self._tick()),
-            asyncio.create_task(self._write_batches()),
+            asyncio.create_task(self._writer.run()),
         ]
         for task in self._tasks:
             task.add_done_callback(self._handle_task_end)
@@ -192,8 +191,8 @@
         settings = self._settings
         now = clock_lib.read_monotonic()
         self._storage = stack.enter_context(folder.open_folder(settings))
-        self._executor = stack.enter_context(
-            concurrent.futures.ThreadPoolExecutor(1)
+        self._writer = stack.enter_context(
+            writer_lib.Writer(self._storage, self._deliver)
         )
         self._replica = replica_lib.Replica(
             self._storage.stored,
@@ -253,21 +252,6 @@
                 self._handle(self._inbox.get_nowait())
             self._process_ready()
 
-    async def _write_batches(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            batches = [await self._batches.get()]
-            while not self._batches.empty():
-                batches.append(self._batches.get_nowait())
-            writes = [write for batch in batches for write in batch.writes]
-            if writes:
-                await loop.run_in_executor(
-                    self._executor, self._storage.save, writes
-                )
-            for batch in batches:
-                for envelope in batch.after_sync:
-                    self._deliver(envelope)
-
     def _deliver(self, envelope: message_lib.Envelope) -> None:
         if envelope.receiver == self._replica.context.identity:
             self._inbox.put_nowait(envelope)
@@ -300,9 +284,7 @@
         for envelope in ready.immediate:
             self._links.send(envelope)
         if ready.writes or ready.after_sync:
-            self._batches.put_nowait(
-                event_lib.Batch(ready.writes, ready.after_sync)
-            )
+            self._writer.add(event_lib.Batch(ready.writes, ready.after_sync))
         self._apply(ready)
         if self._replica.is_snapshot_due:
             index = self._replica.context.applied
