Ignore SIGHUP until a process has a handler for it

What operators would see: a process that is told of changed settings in its first half second ends. The default action of SIGHUP is to end a process, and the handler came only after the imports.

Change: SIGHUP is ignored as the first thing; the settings are read after the imports, so that nothing is missed. test_a_change_of_the_settings_ends_no_process_that_starts failed before (status -1).

--- a/src/skylarkcleat/platform/__main__.py
+++ b/src/skylarkcleat/platform/__main__.py
@@ -8,6 +8,7 @@
 
 import importlib
 import os
+import signal
 import sys
 
 from skylarkcleat import problem as problem_lib
@@ -24,6 +25,8 @@
     if len(arguments) != 1 or arguments[0] not in _MODULES:
         sys.stderr.write("usage: python -m skylarkcleat.platform front|side\n")
         return USAGE_STATUS
+    # Until there is a handler: the settings are read after the imports anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     daemon = importlib.import_module("skylarkcleat.platform.daemon")
     role = importlib.import_module(_MODULES[arguments[0]])
     try:
