Add a soak of the platform's real processes

Checked: no task runs twice at a time, no runner is overfull, no refusal is false, the configuration never goes back and can be read in the end, no process ends by itself, service returns in 15 s. The stand-in runner has leases, fences and troubles now, in a module of its own.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,152 +14,13 @@
 import typing as t
 
 import aiohttp
-from aiohttp import web
+
+from tests import fake_runner
 
 HOST = "nony.example"
 PREFIX = "/lohu/"
-SERVICE = "huvo"
 START_TIMEOUT_S = 30.0
 _POLL_S = 0.05
-_HEARTBEAT_S = 0.3
-HEARTBEAT = {
-    "service": "huvo",
-    "address": "10.0.0.9:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clock-ms": 482113,
-    "sequence": 4,
-    "born": 1_700_000_000_000,
-}
-"""What a runner says of itself."""
-
-
-class FakeRunner:
-    """A runner: starts tasks, holds them under a lease, lists their ends.
-
-    Attributes:
-        starts: Each task and run that it began.
-        delay_s: How long a task takes.
-        odd_answer: What it answers to each hold in place of its runs, if any.
-    """
-
-    def __init__(self, ip: str, port: int, control: str, number: int) -> None:
-        self.id = f"i-{number}"
-        self.ip = ip
-        self.port = port
-        self.control = control
-        self.state = "ready"
-        self.delay_s = 0.05
-        self.failing = False
-        self.odd_answer: bytes | None = None
-        self.starts: list[tuple[str, int]] = []
-        self.acknowledged: list[str] = []
-        self._born = int(time.time() * 1000)
-        self._fence = 0
-        self._running: dict[str, tuple[int, float]] = {}
-        self._ended: list[list[t.Any]] = []
-        self._number = 0
-        self._sequence = 0
-        self._deadline = 0.0
-        self._wake = asyncio.Event()
-
-    @property
-    def born_ms(self) -> int:
-        """When it started, in Unix milliseconds."""
-        return self._born
-
-    async def serve(self, stack: contextlib.AsyncExitStack) -> None:
-        app = web.Application()
-        app.router.add_post("/api/run-start", self._start)
-        app.router.add_post("/api/run-stop", self._stop)
-        app.router.add_post("/api/hold", self._hold)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, self.ip, self.port).start()
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        task = asyncio.create_task(self._report(session))
-        stack.callback(task.cancel)
-
-    def _clock_ms(self) -> int:
-        return int(time.monotonic() * 1000)
-
-    def _answer(self, status: int = 200, **fields: t.Any) -> web.Response:
-        fields |= {"clock-ms": self._clock_ms(), "born": self._born}
-        return web.json_response(fields, status=status)
-
-    async def _report(self, session: aiohttp.ClientSession) -> None:
-        url = f"http://{self.control}/api/instances/{self.id}/heartbeat"
-        while True:
-            self._sequence += 1
-            body = {
-                "service": SERVICE,
-                "address": f"{self.ip}:{self.port}",
-                "zone": "z",
-                "state": self.state,
-                "capacity": {"cpu": 4000, "mem-mb": 4096, "gpu": 0},
-                "labels": ["a", "r1"],
-                "clock-ms": self._clock_ms(),
-                "sequence": self._sequence,
-                "born": self._born,
-            }
-            with contextlib.suppress(aiohttp.ClientError, OSError):
-                async with session.post(url, json=body) as response:
-                    if response.status == 200:
-                        self.acknowledged.append(self.state)
-            await asyncio.sleep(_HEARTBEAT_S)
-
-    async def _start(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        if body.get("fencing-token", 0) < self._fence:
-            return self._answer(409, reason="fence")
-        self._fence = body["fencing-token"]
-        if body["deadline-ms"] < self._clock_ms():
-            return self._answer(409, reason="late")
-        task, run = body["task"], body["run"]
-        if task in self._running:
-            return self._answer(200)
-        self.starts.append((task, run))
-        self._running[task] = (run, time.monotonic())
-        loop = asyncio.get_running_loop()
-        ending = "failed" if self.failing else "done"
-        loop.call_later(self.delay_s, self._end, task, run, ending)
-        return self._answer()
-
-    def _end(self, task: str, run: int, ending: str) -> None:
-        if self._running.get(task, (0, 0))[0] != run:
-            return
-        del self._running[task]
-        self._number += 1
-        self._ended.append([self._number, task, run, ending, ""])
-        self._wake.set()
-
-    async def _stop(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        self._end(body["task"], body["run"], "stopped")
-        return self._answer()
-
-    async def _hold(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        if self.odd_answer is not None:
-            return web.Response(body=self.odd_answer)
-        if body["fencing-token"] < self._fence:
-            return self._answer(409, reason="fence")
-        self._fence = body["fencing-token"]
-        seen = body["last-seen"]
-        self._ended = [end for end in self._ended if end[0] > seen]
-        if not self._ended and body.get("wait-ms"):
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._wake.wait(), body["wait-ms"] / 1000
-                )
-        running = [[k, run, "", 0, 0] for k, (run, _) in self._running.items()]
-        return self._answer(running=running, ended=self._ended)
 
 
 class Process:
@@ -173,6 +34,7 @@
         self.path = folder / f"{ip}.toml"
         self.path.write_text(settings)
         self.log = folder / f"{ip}.log"
+        self.started_at = 0.0
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -181,6 +43,7 @@
             "SKYLARKCLEAT_SETTINGS": str(self.path),
             "PYTHONPATH": "src",
         }
+        self.started_at = time.monotonic()
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "skylarkcleat.platform", self.role],
@@ -213,7 +76,7 @@
         self.folder = folder
         self.fronts: list[Process] = []
         self.sides: list[Process] = []
-        self.runners: list[FakeRunner] = []
+        self.runners: list[fake_runner.FakeRunner] = []
         self._block = ip_block
         self._stack: contextlib.AsyncExitStack
         self._port = 21000
@@ -247,7 +110,7 @@
             side = self._create_side(number)
             self.sides.append(side)
             stack.callback(side.kill)
-            runner = FakeRunner(
+            runner = fake_runner.FakeRunner(
                 side.ip, self._port + 5, f"{side.ip}:{self._port + 3}", number
             )
             await runner.serve(stack)
@@ -264,6 +127,18 @@
         front.start()
         return number
 
+    def find_data(self, process: Process) -> pathlib.Path | None:
+        """Returns the folder of a front's disk, if it has one."""
+        folder = self.folder / f"data-{process.ip}"
+        return folder if str(folder) in process.path.read_text() else None
+
+    def forbid_bootstrap(self, process: Process) -> None:
+        """Says in a front's settings that the system has started before."""
+        text = process.path.read_text()
+        process.path.write_text(
+            text.replace("bootstrap = true", "bootstrap = false")
+        )
+
     def _ip(self, number: int) -> str:
         return f"127.{self._block}.0.{number}"
 
@@ -283,7 +158,7 @@
         ip = self._ip(number + 1)
         text = self._common(ip, has_disk, bootstrap)
         if has_disk:
-            data = self.folder / f"data-{number}"
+            data = self.folder / f"data-{ip}"
             text += f'data-dir = "{data}"\n'
         port = self._port
         text += (
@@ -297,7 +172,7 @@
         port = self._port
         text = self._common(ip, has_disk=False, bootstrap=True)
         text += (
-            f'app = "{ip}:{port + 5}"\nservice = "{SERVICE}"\n'
+            f'app = "{ip}:{port + 5}"\nservice = "{fake_runner.SERVICE}"\n'
             f'[listen]\ncontrol = "{ip}:{port + 3}"\n'
         )
         return Process("side", ip, self.folder, text)
@@ -333,11 +208,12 @@
         job: str,
         tasks: int = 2,
         estimate_ms: int = 50,
+        cpu: int = 500,
         **fields: t.Any,
     ) -> tuple[int, t.Any]:
         step = {
             "task-count": tasks,
-            "cpu": 500,
+            "cpu": cpu,
             "estimated-ms": estimate_ms,
         }
         body = {"spec": "s", "steps": [step], "best-effort": True, **fields}
@@ -398,11 +274,11 @@
         "timeout-ms": 1500,
         "target-latency-ms": 60,
         "priority": 0,
-        "service": SERVICE,
+        "service": fake_runner.SERVICE,
         "max-attempts": 2,
         "stretch": 1.6,
     }
-    service = {"name": SERVICE, "admission-check": False}
+    service = {"name": fake_runner.SERVICE, "admission-check": False}
     return {"version": version, "routes": [route], "services": [service]}
 
 
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,406 @@
+"""A seeded soak of the platform's real processes under overlapping faults.
+
+Fronts and side processes run as processes of their own on loopback addresses.
+Faults come from outside them: signals, lost disks, replaced fronts, runners
+that crash, hang or carry orders out late, and odd entries. Callers and an
+operator keep their connections open until the other end is gone.
+
+Run some by hand with `python -m tests.soak --seeds 50 --first 0`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import shutil
+import signal
+import tempfile
+import time
+import typing as t
+
+import aiohttp
+
+from tests import fake_runner
+from tests import platform_fleet
+from tests import soak_checks
+
+RECOVERY_S = 15.0
+"""The users' bound from the end of the last fault: 12 s, and 3 s to start."""
+
+CATCH_UP_S = 6.0
+"""How long after its return a disk, or its successor, counts as lost."""
+
+GRACE_S = 7.0
+RESEND_S = 1.3
+ATTEMPTS = 3
+CPU = 500
+TASKS = 3
+FAULT_GAP_S = 1.2
+CALLERS = 6
+INTERPRETER_S = 0.3
+"""How long Python itself may take to start; a signal ends it until then."""
+
+ODD_ENTRIES = (
+    {"sequence": 10**15},
+    {"born": 10**15},
+    {"capacity": {"cpu": 10**30, "mem-mb": 1}},
+    {"address": "10.0.0.9:99999"},
+)
+
+
+class Soak:
+    """One seeded run.
+
+    Args:
+        seed: Decides the faults and the callers' choices.
+        folder: Holds settings, data and logs.
+        block: The second byte of the processes' loopback addresses.
+        length_s: How long faults are injected.
+
+    Attributes:
+        violations: What was broken.
+        faults: What was injected, and when.
+    """
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, block: int, length_s: float
+    ) -> None:
+        self.random = random.Random(seed)
+        self.violations: list[soak_checks.Violation] = []
+        self.faults: list[tuple[float, str]] = []
+        self.verdicts: dict[str, list[int]] = {}
+        self._folder = folder
+        self._block = block
+        self._length_s = length_s
+        self._acknowledged = 1
+        self._sent = 1
+        self._disk_lost_until = 0.0
+        self._busy: set[str] = set()
+        self._gone: set[str] = set()
+        self._is_over = False
+
+    async def run(self) -> None:
+        """Runs the fleet, its load and its faults, and checks the promises."""
+        opened = platform_fleet.open_fleet(self._folder, self._block)
+        async with opened as client:
+            self.client = client
+            self.fleet = client.fleet
+            await client.configure()
+            load = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
+            load.append(asyncio.create_task(self._operate()))
+            load.append(asyncio.create_task(self._watch()))
+            await self._inject()
+            await self._check_service()
+            self._is_over = True
+            await asyncio.gather(*load)
+            await self._check_configuration()
+        self._check_runs()
+
+    # Load.
+
+    async def _call(self) -> None:
+        while not self._is_over:
+            job = f"{self.random.getrandbits(64):016x}"
+            statuses = self.verdicts[job] = []
+            for _ in range(ATTEMPTS):
+                status = await self._submit(self._draw_front(), job)
+                statuses.append(status)
+                if status not in (0, 502, 504):
+                    break
+                await asyncio.sleep(RESEND_S)
+            await asyncio.sleep(self.random.uniform(0, 0.1))
+
+    async def _submit(self, front: int, job: str) -> int:
+        """Returns the status of the answer; 0 without one."""
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(4):
+                status, _ = await self.client.submit(
+                    front, job, tasks=TASKS, cpu=CPU, estimate_ms=60
+                )
+                return status
+        return 0
+
+    async def _operate(self) -> None:
+        while not self._is_over:
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+            if self.random.random() < 0.5:
+                await self._read(self._draw_front())
+                continue
+            self._sent += self.random.randrange(1, 4)
+            version = self._sent
+            for _ in range(ATTEMPTS):
+                if await self._put(self._draw_front(), version):
+                    self._acknowledged = max(self._acknowledged, version)
+                    break
+
+    async def _put(self, front: int, version: int) -> bool:
+        body = platform_fleet.create_configuration(version)
+        url = self.fleet.control_url(front, "/api/config/put")
+        status, _ = await self._control("POST", url, body)
+        if 400 <= status < 500:
+            self._report("CONFIG", f"{version} was refused with {status}")
+        return status == 200
+
+    async def _read(self, front: int) -> bool:
+        oldest = self._acknowledged
+        url = self.fleet.control_url(front, "/api/config/get")
+        status, found = await self._control("GET", url)
+        if status == 200 and found["version"] < oldest:
+            self._report("CONFIG", f"read {found['version']} after {oldest}")
+        return status == 200
+
+    async def _control(
+        self, method: str, url: str, body: t.Any = None
+    ) -> tuple[int, t.Any]:
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(2):
+                return await self.client.call(method, url, body)
+        return 0, None
+
+    async def _watch(self) -> None:
+        """Reports processes that end by themselves."""
+        while not self._is_over:
+            for process in self._list_processes():
+                if process.ip not in self._busy and process.has_ended:
+                    tail = process.log.read_text()[-300:]
+                    status = process.wait()
+                    self._report("OWN END", f"{process.ip} {status}: {tail}")
+                    self._gone.add(process.ip)
+            await asyncio.sleep(0.05)
+
+    # Faults.
+
+    async def _inject(self) -> None:
+        kinds = (
+            *(self._kill, self._kill, self._stop, self._stop, self._freeze),
+            *(self._freeze, self._hang_up, self._wipe, self._replace),
+            *(self._kill_all, self._crash_runner, self._crash_runner),
+            *(self._hang_runner, self._delay_orders, self._send_odd_entry),
+        )
+        begun = time.monotonic()
+        running: set[asyncio.Task] = set()
+        while time.monotonic() - begun < self._length_s:
+            await asyncio.sleep(self.random.expovariate(1 / FAULT_GAP_S))
+            kind = self.random.choice(kinds)
+            at = round(time.monotonic() - begun, 2)
+            self.faults.append((at, kind.__name__.lstrip("_")))
+            running.add(asyncio.create_task(kind()))
+        await asyncio.gather(*running)
+
+    @contextlib.contextmanager
+    def _hold(self, process: platform_fleet.Process | None):
+        """Keeps other faults from a process; yields None if one has it."""
+        if process is None or process.ip in self._busy | self._gone:
+            yield None
+            return
+        self._busy.add(process.ip)
+        try:
+            yield process
+        finally:
+            self._busy.discard(process.ip)
+            self._extend_loss(process)
+
+    def _extend_loss(self, process: platform_fleet.Process) -> None:
+        """Lets a lost disk count for longer: another one was disturbed."""
+        now = time.monotonic()
+        if now < self._disk_lost_until and self.fleet.find_data(process):
+            until = now + CATCH_UP_S
+            self._disk_lost_until = max(self._disk_lost_until, until)
+
+    async def _kill(self) -> None:
+        with self._hold(self._draw_process()) as process:
+            if process:
+                process.kill()
+                await asyncio.sleep(self.random.uniform(0.1, 2.0))
+                process.start()
+
+    async def _stop(self) -> None:
+        with self._hold(self._draw_process()) as process:
+            if process:
+                process.signal(signal.SIGTERM)
+                end = time.monotonic() + GRACE_S
+                while not process.has_ended:
+                    if time.monotonic() > end:
+                        self._report("DRAIN", f"{process.ip} does not end")
+                        process.kill()
+                    await asyncio.sleep(0.05)
+                process.start()
+
+    async def _freeze(self) -> None:
+        with self._hold(self._draw_process()) as process:
+            if process:
+                process.signal(signal.SIGSTOP)
+                await asyncio.sleep(self.random.uniform(0.3, 4.0))
+                process.signal(signal.SIGCONT)
+
+    async def _hang_up(self) -> None:
+        for process in self._list_processes():
+            is_new = time.monotonic() - process.started_at < INTERPRETER_S
+            if process.ip in self._busy or is_new:
+                continue
+            if self.random.random() < 0.5:
+                process.signal(signal.SIGHUP)
+
+    async def _kill_all(self) -> None:
+        held = []
+        with contextlib.ExitStack() as stack:
+            for process in self._list_processes():
+                one = stack.enter_context(self._hold(process))
+                held += [one] if one else []
+            for process in held:
+                process.kill()
+            await asyncio.sleep(1.0)
+            for process in held:
+                process.start()
+
+    async def _wipe(self) -> None:
+        if time.monotonic() < self._disk_lost_until:
+            return
+        with self._hold(self._draw_disk()) as process:
+            if process:
+                self._disk_lost_until = float("inf")
+                process.kill()
+                shutil.rmtree(self.fleet.find_data(process))
+                self.fleet.forbid_bootstrap(process)
+                await asyncio.sleep(self.random.uniform(0.1, 1.0))
+                process.start()
+                self._disk_lost_until = time.monotonic() + CATCH_UP_S
+
+    async def _replace(self) -> None:
+        if time.monotonic() < self._disk_lost_until:
+            return
+        process = self._draw_disk()
+        if process is None or process.ip in self._busy:
+            return
+        self._disk_lost_until = float("inf")
+        self._gone.add(process.ip)
+        process.kill()
+        await asyncio.sleep(1.0)
+        self.fleet.add_front()
+        self._disk_lost_until = time.monotonic() + CATCH_UP_S
+
+    async def _crash_runner(self) -> None:
+        runner = self.random.choice(self.fleet.runners)
+        runner.crash(self.random.uniform(0.2, 3.0))
+
+    async def _hang_runner(self) -> None:
+        runner = self.random.choice(self.fleet.runners)
+        runner.hang(self.random.uniform(0.2, 3.0))
+
+    async def _delay_orders(self) -> None:
+        runner = self.random.choice(self.fleet.runners)
+        runner.unanswered_fraction = 0.3
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        runner.unanswered_fraction = 0.0
+
+    async def _send_odd_entry(self) -> None:
+        number = self.random.randrange(len(self.fleet.runners))
+        runner = self.fleet.runners[number]
+        odd = self.random.choice(ODD_ENTRIES)
+        body = json.dumps(fake_runner.HEARTBEAT | odd).encode()
+        url = self.fleet.heartbeat_url(number, runner.id)
+        await self._control("POST", url, body)
+
+    def _list_processes(self) -> list[platform_fleet.Process]:
+        every = [*self.fleet.fronts, *self.fleet.sides]
+        return [each for each in every if each.ip not in self._gone]
+
+    def _draw_process(self) -> platform_fleet.Process:
+        return self.random.choice(self._list_processes())
+
+    def _draw_disk(self) -> platform_fleet.Process | None:
+        disks = [
+            each
+            for each in self.fleet.fronts
+            if each.ip not in self._gone and self.fleet.find_data(each)
+        ]
+        return self.random.choice(disks) if disks else None
+
+    def _draw_front(self) -> int:
+        """Returns the number of a front that was not taken away for good."""
+        fronts = enumerate(self.fleet.fronts)
+        return self.random.choice(
+            [number for number, each in fronts if each.ip not in self._gone]
+        )
+
+    # Checks.
+
+    def _report(self, rule: str, detail: str) -> None:
+        self.violations.append(soak_checks.Violation(rule, detail))
+
+    async def _check_service(self) -> None:
+        """Expects that each front serves a job within the users' bound."""
+        end = time.monotonic() + RECOVERY_S
+        for number, front in enumerate(self.fleet.fronts):
+            if front.ip in self._gone:
+                continue
+            while await self._submit(number, f"{self._draw_id():016x}") != 200:
+                if time.monotonic() > end:
+                    self._report("RECOVER", f"{front.ip} serves no job")
+                    return
+                await asyncio.sleep(0.1)
+
+    def _draw_id(self) -> int:
+        return self.random.getrandbits(64)
+
+    async def _check_configuration(self) -> None:
+        for number, front in enumerate(self.fleet.fronts):
+            if front.ip in self._gone:
+                continue
+            end = time.monotonic() + RECOVERY_S
+            while not await self._read(number):
+                if time.monotonic() > end:
+                    self._report("CONFIG", f"{front.ip} can't be read")
+                    return
+                await asyncio.sleep(0.1)
+
+    def _check_runs(self) -> None:
+        runs = [run for runner in self.fleet.runners for run in runner.runs]
+        for violation in (
+            *soak_checks.list_overlaps(runs),
+            *soak_checks.list_overfull(runs, CPU),
+            *soak_checks.list_false_refusals(runs, self.verdicts),
+        ):
+            self._report(*violation)
+
+
+def soak(seed: int, folder: pathlib.Path, block: int, length_s: float) -> Soak:
+    """Runs one seed and returns what it saw."""
+    run = Soak(seed, folder, block, length_s)
+    asyncio.run(run.run())
+    return run
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--length", type=float, default=25.0, metavar="SECONDS")
+    parser.add_argument("--block", type=int, default=220)
+    parser.add_argument("--logs", type=pathlib.Path, help="kept for bad seeds")
+    options = parser.parse_args()
+    bad = 0
+    for seed in range(options.first, options.first + options.seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        run = soak(seed, folder, options.block, options.length)
+        served = sum(each[-1:] == [200] for each in run.verdicts.values())
+        jobs = len(run.verdicts)
+        print(f"seed {seed}: {served} of {jobs} jobs served", flush=True)
+        for violation in run.violations:
+            print(f"  {violation.rule}: {violation.detail}", flush=True)
+        if run.violations:
+            bad += 1
+            print(f"  faults: {run.faults}", flush=True)
+            if options.logs:
+                shutil.copytree(folder, options.logs / f"seed-{seed}")
+        shutil.rmtree(folder)
+    print(f"{bad} of {options.seeds} seeds broke a promise")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -10,6 +10,7 @@
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import scheduling
+from tests import fake_runner
 from tests import platform_fleet
 
 ID = "5c0e7a21d94b36f8"
@@ -93,7 +94,7 @@
 
 def test_decodes_a_heartbeat():
     heartbeat = runner_body.decode_heartbeat(
-        "i-1", json.dumps(platform_fleet.HEARTBEAT).encode()
+        "i-1", json.dumps(fake_runner.HEARTBEAT).encode()
     )
     assert heartbeat.runner == scheduling.Runner(
         "i-1",
@@ -112,9 +113,9 @@
     [
         b"\x80",
         b"{}",
-        json.dumps(platform_fleet.HEARTBEAT | {"state": "resting"}).encode(),
-        json.dumps(platform_fleet.HEARTBEAT | {"capacity": 4}).encode(),
-        json.dumps(platform_fleet.HEARTBEAT | {"sequence": "4"}).encode(),
+        json.dumps(fake_runner.HEARTBEAT | {"state": "resting"}).encode(),
+        json.dumps(fake_runner.HEARTBEAT | {"capacity": 4}).encode(),
+        json.dumps(fake_runner.HEARTBEAT | {"sequence": "4"}).encode(),
     ],
 )
 def test_rejects_an_invalid_heartbeat(body):
--- a/tests/test_platform_odd_bodies.py
+++ b/tests/test_platform_odd_bodies.py
@@ -14,6 +14,7 @@
 from skylarkcleat.platform import configuration_body
 from skylarkcleat.platform import job_body
 from skylarkcleat.platform import runner_body
+from tests import fake_runner
 from tests import platform_fleet
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -45,7 +46,7 @@
 
 
 DECODERS = [
-    (decode_heartbeat, platform_fleet.HEARTBEAT, runner_body.RunnerError),
+    (decode_heartbeat, fake_runner.HEARTBEAT, runner_body.RunnerError),
     (runner_body.decode_hold_answer, HELD, runner_body.RunnerError),
     (decode_answer, ANSWER, runner_body.RunnerError),
     (decode_job, JOB, job_body.JobError),
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests import platform_fleet
+from tests import fake_runner
 from tests import test_platform_odd_bodies as bodies
 
 ODD_S = 1.0
@@ -31,8 +31,8 @@
 
 def describe(runner):
     """Returns the heartbeat of a runner, as another writer may copy it."""
-    return platform_fleet.HEARTBEAT | {
-        "service": platform_fleet.SERVICE,
+    return fake_runner.HEARTBEAT | {
+        "service": fake_runner.SERVICE,
         "address": f"{runner.ip}:{runner.port}",
         "born": runner.born_ms,
     }
