--- a/src/skylarkcleat/control/account_api.py
+++ b/src/skylarkcleat/control/account_api.py
@@ -14,8 +14,8 @@
 from skylarkcleat.directory import admin_report
 from skylarkcleat.directory import options as options_lib
 from skylarkcleat.model import job_id as job_id_lib
+from skylarkcleat.timeline import event_text
 from skylarkcleat.timeline import explanation as explanation_lib
-from skylarkcleat.timeline import narration
 from skylarkcleat.timeline import summary as summary_lib
 
 DEFAULT_EVENTS = 100
@@ -66,7 +66,7 @@
         admin_access.authorize(request, self._operators)
         limit = _read_number(request, "limit", DEFAULT_EVENTS, MOST_EVENTS)
         events = await self._investigation.read_recent(limit)
-        lines = narration.narrate(events[-limit:])
+        lines = event_text.format_events(events[-limit:])
         return admin_report.create_response(
             {
                 "events": [
--- a/src/skylarkcleat/control/process.py
+++ b/src/skylarkcleat/control/process.py
@@ -15,7 +15,7 @@
 from skylarkcleat.timeline import incident_codec
 from skylarkcleat.timeline import incident_store
 from skylarkcleat.timeline import incident_writer
-from skylarkcleat.timeline import inquiry
+from skylarkcleat.timeline import queries
 from skylarkcleat.wire import event as event_lib
 
 _Kind = subscribing.ChangeKind
@@ -98,7 +98,7 @@
             rows = await self._writer.find_period(
                 wanted.begin_ms, wanted.end_ms
             )
-        found = inquiry.answer_incident_inquiry(
+        found = queries.answer_incident_inquiry(
             rows, self._store.damaged, wanted
         )
         self._network.send(sender, found)
--- a/src/skylarkcleat/timeline/account.py
+++ b/src/skylarkcleat/timeline/account.py
@@ -9,8 +9,8 @@
 from skylarkcleat.timeline import event as event_lib
 from skylarkcleat.timeline import incident as incident_lib
 from skylarkcleat.timeline import incident_codec
-from skylarkcleat.timeline import inquiry
 from skylarkcleat.timeline import kind as kind_lib
+from skylarkcleat.timeline import queries
 from skylarkcleat.timeline import recorder as recorder_lib
 from skylarkcleat.timeline import reporter as reporter_lib
 
@@ -48,7 +48,7 @@
         self.clock = recorder.clock
         self.reporter = reporter or reporter_lib.Reporter()
 
-    def hear(self, peer: str, stamp: int, wall_ms: int) -> None:
+    def receive(self, peer: str, stamp: int, wall_ms: int) -> None:
         """Takes the stamp of a peer's message, and records a wrong clock.
 
         Args:
@@ -117,7 +117,7 @@
 
     def answer(self, question: diagnostics.EventQuery) -> diagnostics.EventPage:
         """Returns the piece of the events that was asked for."""
-        return inquiry.answer_inquiry(self.recorder, self.process, question)
+        return queries.answer_query(self.recorder, self.process, question)
 
     def take_report(
         self, request: int, now: float
--- a/src/skylarkcleat/timeline/verdict.py
+++ b/src/skylarkcleat/timeline/diagnosis.py
@@ -1,4 +1,4 @@
-"""The verdict on a job: one cause, and what it rests on."""
+"""Diagnoses a job: one cause, and what it rests on."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 )
 
 
-class Verdict(t.NamedTuple):
-    """What a job is put down to.
+class Diagnosis(t.NamedTuple):
+    """The cause of a job's outcome, and what it rests on.
 
     Attributes:
         cause: One of the closed list.
@@ -39,10 +39,10 @@
     missing: tuple[missing_lib.Missing, ...]
 
 
-def judge(
+def diagnose(
     facts: facts_lib.JobFacts,
     missing: collections.abc.Iterable[missing_lib.Missing] = (),
-) -> Verdict:
+) -> Diagnosis:
     """Returns the one cause that the facts bear out.
 
     Args:
@@ -53,7 +53,7 @@
     gone.update({each.process: each for each in missing})
     late_ms = _get_late_ms(facts)
     delay = _find_delay(facts, late_ms)
-    return Verdict(
+    return Diagnosis(
         cause=_choose_cause(facts, delay, set(gone)),
         ending=facts.finished.ending if facts.finished else None,
         late_ms=late_ms,
--- a/src/skylarkcleat/timeline/narration.py
+++ b/src/skylarkcleat/timeline/event_text.py
@@ -28,7 +28,7 @@
     text: str
 
 
-def narrate(
+def format_events(
     events: collections.abc.Iterable[event_lib.Event],
 ) -> tuple[Line, ...]:
     """Returns a line for each event, in the order given."""
@@ -37,13 +37,13 @@
             clock.read_ms(event.stamp),
             event.process,
             event.zone,
-            write_line(event),
+            format_event(event),
         )
         for event in events
     )
 
 
-def write_line(event: event_lib.Event) -> str:
+def format_event(event: event_lib.Event) -> str:
     """Returns what happened, with the figures that the event carries."""
     text = " ".join(part for part in (event.kind.value, _name(event)) if part)
     figures = ", ".join(_list_figures(event))
--- a/src/skylarkcleat/timeline/explanation.py
+++ b/src/skylarkcleat/timeline/explanation.py
@@ -6,14 +6,14 @@
 import typing as t
 
 from skylarkcleat.model import cause as cause_lib
+from skylarkcleat.timeline import diagnosis as diagnosis_lib
 from skylarkcleat.timeline import ending as ending_lib
 from skylarkcleat.timeline import event as event_lib
+from skylarkcleat.timeline import event_text
 from skylarkcleat.timeline import facts as facts_lib
 from skylarkcleat.timeline import incident as incident_lib
+from skylarkcleat.timeline import job_summary
 from skylarkcleat.timeline import missing as missing_lib
-from skylarkcleat.timeline import narration
-from skylarkcleat.timeline import sentence
-from skylarkcleat.timeline import verdict as verdict_lib
 
 
 class Explanation(t.NamedTuple):
@@ -35,7 +35,7 @@
     ending: ending_lib.Ending | None
     late_ms: float
     summary: str
-    lines: tuple[narration.Line, ...]
+    lines: tuple[event_text.Line, ...]
     missing: tuple[missing_lib.Missing, ...]
 
 
@@ -59,15 +59,15 @@
     reports = [each for each in incidents if each.job == job]
     rows = [*events, *(row for each in reports for row in each.events)]
     facts = facts_lib.gather_facts(job, rows)
-    verdict = verdict_lib.judge(facts, missing)
+    diagnosis = diagnosis_lib.diagnose(facts, missing)
     explained = Explanation(
         job=job,
-        cause=verdict.cause,
-        ending=verdict.ending,
-        late_ms=verdict.late_ms,
-        summary=sentence.write_summary(facts, verdict),
-        lines=narration.narrate(facts.events),
-        missing=verdict.missing,
+        cause=diagnosis.cause,
+        ending=diagnosis.ending,
+        late_ms=diagnosis.late_ms,
+        summary=job_summary.format_summary(facts, diagnosis),
+        lines=event_text.format_events(facts.events),
+        missing=diagnosis.missing,
     )
     best = max(reports, key=_weigh, default=None)
     if best is None or not _rests_on_more(best, facts):
--- a/src/skylarkcleat/timeline/incident.py
+++ b/src/skylarkcleat/timeline/incident.py
@@ -7,13 +7,13 @@
 import typing as t
 
 from skylarkcleat.model import cause as cause_lib
+from skylarkcleat.timeline import diagnosis as diagnosis_lib
 from skylarkcleat.timeline import ending as ending_lib
 from skylarkcleat.timeline import event as event_lib
 from skylarkcleat.timeline import facts as facts_lib
+from skylarkcleat.timeline import job_summary
 from skylarkcleat.timeline import kind as kind_lib
 from skylarkcleat.timeline import lateness
-from skylarkcleat.timeline import sentence
-from skylarkcleat.timeline import verdict as verdict_lib
 
 MAX_FULL_TASKS = 4
 MAX_EVENTS = 128
@@ -102,18 +102,18 @@
     facts = facts_lib.gather_facts(job, events)
     kept = choose_events(facts)
     last = facts.events[-1].stamp if facts.events else 0
-    verdict = verdict_lib.judge(facts)
+    diagnosis = diagnosis_lib.diagnose(facts)
     return Incident(
         id=f"{job}/{process}/{last}/{len(facts.events)}",
         job=job,
         process=process,
         wall_ms=wall_ms,
         trouble=trouble,
-        cause=verdict.cause,
+        cause=diagnosis.cause,
         profile=facts.profile,
-        ending=verdict.ending,
-        late_ms=verdict.late_ms,
-        summary=sentence.write_summary(facts, verdict),
+        ending=diagnosis.ending,
+        late_ms=diagnosis.late_ms,
+        summary=job_summary.format_summary(facts, diagnosis),
         omitted=len(facts.events) - len(kept),
         events=kept,
     )
--- a/src/skylarkcleat/timeline/sentence.py
+++ b/src/skylarkcleat/timeline/job_summary.py
@@ -6,13 +6,13 @@
 
 from skylarkcleat.model import cause as cause_lib
 from skylarkcleat.timeline import delay as delay_lib
+from skylarkcleat.timeline import diagnosis as diagnosis_lib
 from skylarkcleat.timeline import ending as ending_lib
 from skylarkcleat.timeline import event as event_lib
 from skylarkcleat.timeline import facts as facts_lib
 from skylarkcleat.timeline import kind as kind_lib
 from skylarkcleat.timeline import missing as missing_lib
 from skylarkcleat.timeline import phrases
-from skylarkcleat.timeline import verdict as verdict_lib
 
 _FLOOD_TASKS = 16
 _MAX_NAMES = 3
@@ -41,23 +41,23 @@
 )
 
 
-def write_summary(
-    facts: facts_lib.JobFacts, verdict: verdict_lib.Verdict
+def format_summary(
+    facts: facts_lib.JobFacts, diagnosis: diagnosis_lib.Diagnosis
 ) -> str:
     """Returns opening, cause and ending, and what is missing if it matters.
 
     Args:
         facts: What is known of the job.
-        verdict: What it is put down to.
+        diagnosis: Its cause, and what that rests on.
     """
-    opening = _write_opening(facts, verdict.late_ms)
-    parts = [f"{opening}: {_write_cause(facts, verdict)}"]
-    if verdict.ending:
-        parts.append(_write_ending(verdict))
+    opening = _write_opening(facts, diagnosis.late_ms)
+    parts = [f"{opening}: {_write_cause(facts, diagnosis)}"]
+    if diagnosis.ending:
+        parts.append(_write_ending(diagnosis))
     elif facts.events:
         parts.append(_write_progress(facts))
-    if verdict.missing and verdict.cause in _UNSURE:
-        parts.append(f"missing: {_write_missing(verdict.missing)}")
+    if diagnosis.missing and diagnosis.cause in _UNSURE:
+        parts.append(f"missing: {_write_missing(diagnosis.missing)}")
     return "; ".join(parts)
 
 
@@ -77,9 +77,9 @@
 
 
 def _write_cause(
-    facts: facts_lib.JobFacts, verdict: verdict_lib.Verdict
+    facts: facts_lib.JobFacts, diagnosis: diagnosis_lib.Diagnosis
 ) -> str:
-    cause, delay = verdict.cause, verdict.delay
+    cause, delay = diagnosis.cause, diagnosis.delay
     if delay and delay.cause is cause and delay.attempts:
         return _write_delay(facts, delay)
     if delay and delay.cause is cause and delay.subject:
@@ -178,10 +178,10 @@
     return f"it was submitted {times}, and nothing of it ran again"
 
 
-def _write_ending(verdict: verdict_lib.Verdict) -> str:
-    if verdict.cause is cause_lib.Cause.STARTED_TWICE:
-        return f"the caller was told {verdict.ending.value!r}"
-    return _ENDINGS[verdict.ending]
+def _write_ending(diagnosis: diagnosis_lib.Diagnosis) -> str:
+    if diagnosis.cause is cause_lib.Cause.STARTED_TWICE:
+        return f"the caller was told {diagnosis.ending.value!r}"
+    return _ENDINGS[diagnosis.ending]
 
 
 def _write_progress(facts: facts_lib.JobFacts) -> str:
--- a/src/skylarkcleat/timeline/inquiry.py
+++ b/src/skylarkcleat/timeline/queries.py
@@ -11,7 +11,7 @@
 from skylarkcleat.timeline import recorder as recorder_lib
 
 
-def answer_inquiry(
+def answer_query(
     recorder: recorder_lib.Recorder,
     process: str,
     question: diagnostics.EventQuery,
--- a/src/skylarkcleat/wire/stamper.py
+++ b/src/skylarkcleat/wire/stamper.py
@@ -44,4 +44,4 @@
 
     def merge(self, peer: str, stamp: int) -> None:
         """Advances the clock, so that later stamps exceed the peer's."""
-        self._account.hear(peer, stamp, clock_lib.read_wall_ms())
+        self._account.receive(peer, stamp, clock_lib.read_wall_ms())
--- a/tests/test_timeline_account.py
+++ b/tests/test_timeline_account.py
@@ -83,7 +83,7 @@
 
 def test_wrong_clock_of_a_peer_is_recorded_and_not_followed(account):
     wrong = (cases.START_MS + 3_600_000) << clock_lib.COUNTER_BITS
-    account.hear("agent-a-1", wrong, cases.START_MS)
+    account.receive("agent-a-1", wrong, cases.START_MS)
     (fault,) = account.recorder.find_process_events()
     assert (fault.kind, fault.peer) == (Kind.CLOCK_FAULT, "agent-a-1")
     assert fault.duration_ms == 3_600_000
--- a/tests/test_timeline_incidents.py
+++ b/tests/test_timeline_incidents.py
@@ -11,8 +11,8 @@
 from skylarkcleat.timeline import explanation
 from skylarkcleat.timeline import incident as incident_lib
 from skylarkcleat.timeline import incident_codec
-from skylarkcleat.timeline import inquiry
 from skylarkcleat.timeline import kind as kind_lib
+from skylarkcleat.timeline import queries
 from skylarkcleat.timeline import reporter as reporter_lib
 from skylarkcleat.timeline import summary as summary_lib
 from tests import timeline_cases as cases
@@ -154,7 +154,7 @@
     question = diagnostics.IncidentQuery(1, skip=0)
     got, done = [], False
     while not done:
-        found = inquiry.answer_incident_inquiry(
+        found = queries.answer_incident_inquiry(
             rows, 0, question._replace(skip=len(got))
         )
         got += incident_codec.unpack_incidents(found.packed)
--- a/tests/test_timeline_recorder.py
+++ b/tests/test_timeline_recorder.py
@@ -5,8 +5,8 @@
 from skylarkcleat.protocol import diagnostics
 from skylarkcleat.timeline import clock as clock_lib
 from skylarkcleat.timeline import collection as collection_lib
-from skylarkcleat.timeline import inquiry
 from skylarkcleat.timeline import kind as kind_lib
+from skylarkcleat.timeline import queries
 from skylarkcleat.timeline import recorder as recorder_lib
 
 Kind = kind_lib.Kind
@@ -125,7 +125,7 @@
     pieces = 0
     while question := collection.create_question("agent-a-1", 7):
         question = question._replace(limit=10**6)
-        piece = inquiry.answer_inquiry(recorder, "agent-a-1", question)
+        piece = queries.answer_query(recorder, "agent-a-1", question)
         assert len(piece.events) <= diagnostics.MAX_EVENTS_PER_PAGE
         collection.take(piece)
         pieces += 1
@@ -144,7 +144,7 @@
         recorder.record(Kind.BROKEN, START_MS, "job-1", task)
     collection = collection_lib.Collection("job-1", ["agent-a-1"])
     question = collection.create_question("agent-a-1", 1)
-    piece = inquiry.answer_inquiry(recorder, "agent-a-1", question)
+    piece = queries.answer_query(recorder, "agent-a-1", question)
     collection.take(piece)
     collection.take(piece)
     (missing,) = collection.missing
@@ -165,6 +165,6 @@
     recorder.record(Kind.STARTED, START_MS, "job-1")
     for job in ("", "job-1"):
         question = diagnostics.EventQuery(1, job, after, limit)
-        piece = inquiry.answer_inquiry(recorder, "agent-a-1", question)
+        piece = queries.answer_query(recorder, "agent-a-1", question)
         assert len(piece.events) == (1 if after < 0 else 0)
         assert piece.after == 1
--- a/tests/timeline_cases.py
+++ b/tests/timeline_cases.py
@@ -55,7 +55,7 @@
         self.recorder.record(kind, self._read_wall(when_ms), **details)
         return self.clock.last
 
-    def hear(self, when_ms: float, stamp: int) -> None:
+    def receive(self, when_ms: float, stamp: int) -> None:
         self.clock.merge(stamp, self._read_wall(when_ms))
 
     def _read_wall(self, when_ms: float) -> int:
@@ -156,7 +156,7 @@
         )
 
     def queue(at_ms: float) -> None:
-        agent.hear(at_ms, stamps["sent"])
+        agent.receive(at_ms, stamps["sent"])
         agent.record(
             at_ms,
             Kind.QUEUED,
@@ -176,7 +176,7 @@
         )
 
     def receive(at_ms: float) -> None:
-        entry.hear(at_ms, stamps["answered"])
+        entry.receive(at_ms, stamps["answered"])
         entry.record(
             at_ms,
             Kind.RECEIVED,
