Keep the view of workers up to date in place of a search

Every placement walked all side processes several times: whether they are open, their duration factors, their room, and the runs of each task.

Change: RoomIndex keeps the runners of an upstream sorted by duration factor, in blocks that know the most free cores of any runner in them; WorkerChanges collects which side processes changed, and which of them has runs of a task. Factors are updated when a run ends, when one becomes late or when slowness decays, in place of every 20 ms for all. Times (late lease, too new, paused) are still checked for the few runners that are looked at.

Ruled out: a search in order of free cores (idle fleets make it a walk over all), numpy (its memory is dear on these VMs).

--- a/src/skylarkcleat/scheduling/adoption.py
+++ b/src/skylarkcleat/scheduling/adoption.py
@@ -9,6 +9,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import owner_state
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import worker as worker_lib
 
 
@@ -38,7 +39,7 @@
         jobs = self._state.jobs
         jobs.recent.record_run(run.task, run.run)
         step = _find_size(worker, run)
-        worker.add(worker_lib.PlacedRun(run.task, run.run, step, now, 0.0))
+        worker.add(placed_run.PlacedRun(run.task, run.run, step, now, 0.0))
         job = jobs.find(run.task)
         task = job.find_task(run.task) if job else None
         if task is not None:
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -37,7 +37,9 @@
             self._end(job, scheduling.Verdict.FAILED, detail, now)
             return True
         recent = self._state.jobs.recent
-        if any(recent.find_crashes(task.name).is_deadly for task in job.tasks):
+        if recent.has_crashes and any(
+            recent.find_crashes(task.name).is_deadly for task in job.tasks
+        ):
             verdict = scheduling.Verdict.FAILED
             self._end(job, verdict, active_job.CRASHES, now)
             return True
@@ -101,13 +103,9 @@
         )
 
     def _stop_runs(self, job: active_job.ActiveJob) -> None:
-        names = {
-            task.name
-            for task in job.tasks
-            if task.state is active_job.TaskState.PLACED
-        }
-        for worker in self._state.workers.by_side.values():
-            for name in sorted(names & worker.runs.keys()):
-                run = worker.runs[name].run
-                stop = scheduling.Stop(worker.epoch, name, run)
+        for task in job.tasks:
+            if task.state is not active_job.TaskState.PLACED:
+                continue
+            for worker, placed in self._state.workers.list_runs(task.name):
+                stop = scheduling.Stop(worker.epoch, task.name, placed.run)
                 self._state.outbox.send(worker.peer, stop)
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -8,9 +8,9 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import backlog as backlog_lib
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import recent_outcomes as recent_outcomes_lib
 from skylarkcleat.scheduling import speed as speed_lib
-from skylarkcleat.scheduling import worker as worker_lib
 
 ABANDONED_RETENTION_S = 2.5
 """How long a job without a caller is kept; callers resend after 1.3 s."""
@@ -91,7 +91,7 @@
             self.backlog.add(job)
             self.needs_placement = True
 
-    def requeue_task(self, placed: worker_lib.PlacedRun, side: str) -> None:
+    def requeue_task(self, placed: placed_run.PlacedRun, side: str) -> None:
         """Makes a task startable again whose run is over and wasn't done."""
         self.recent.record_run(placed.task, placed.run)
         job = self.find(placed.task)
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -22,6 +22,7 @@
 from skylarkcleat.scheduling import outbox as outbox_lib
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import predecessor as predecessor_lib
+from skylarkcleat.scheduling import room_index as room_index_lib
 from skylarkcleat.scheduling import run_endings as run_endings_lib
 from skylarkcleat.scheduling import side_reports as side_reports_lib
 from skylarkcleat.scheduling import starts as starts_lib
@@ -85,6 +86,10 @@
         """The names of all side processes that may run tasks."""
         return self._workers.list_names()
 
+    def find_rooms(self, upstream: str, now: float) -> room_index_lib.RoomIndex:
+        """Returns the runners of an upstream with the room that each has."""
+        return self._workers.find_rooms(upstream, now)
+
     def is_settled(self, now: float) -> bool:
         """Returns whether every task that may be running is known here."""
         return self._workers.settling.is_settled(now)
--- /dev/null
+++ b/src/skylarkcleat/scheduling/placed_run.py
@@ -0,0 +1,32 @@
+"""A run that an owner has ordered, or adopted."""
+
+from __future__ import annotations
+
+import typing as t
+
+from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import speed
+
+
+class PlacedRun(t.NamedTuple):
+    """A run that was ordered and whose end is not known.
+
+    Attributes:
+        task: The task's name.
+        run: Its number.
+        step: The step, with the resources that the run uses.
+        started_at: When it was ordered, in seconds.
+        expected_s: Its expected duration on that runner; 0 for a run that this
+            owner did not order.
+    """
+
+    task: str
+    run: int
+    step: scheduling.Step
+    started_at: float
+    expected_s: float
+
+
+def find_late_at(placed: PlacedRun) -> float:
+    """Returns from when on a run is late, in seconds."""
+    return placed.started_at + speed.LATE_RATIO * placed.expected_s
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import room_index
 from skylarkcleat.scheduling import worker as worker_lib
 
 REMOTE_FACTOR = 1.5
@@ -26,7 +28,8 @@
 def has_room(
     job: active_job.ActiveJob,
     tasks: collections.abc.Sequence[active_job.Task],
-    workers: collections.abc.Sequence[worker_lib.Worker],
+    rooms: room_index.RoomIndex,
+    now: float,
 ) -> bool:
     """Returns whether a job may start its tasks, as far as capacity goes.
 
@@ -34,15 +37,12 @@
     flood, runners occupied by half a job would be wasted. A step with more
     tasks than half of the runners' total capacity may start in part.
     """
-    needed: dict[int, int] = {}
-    for task in tasks:
-        needed[task.step] = needed.get(task.step, 0) + 1
+    needed = collections.Counter(task.step for task in tasks)
     for number, count in needed.items():
         step = job.job.steps[number]
-        fitting = [w for w in workers if w.could_run(job.queue.upstream, step)]
-        room = sum(worker.count_room(step) for worker in fitting)
-        whole = sum(w.runner.cpu // max(step.cpu, 1) for w in fitting)
-        if room < count <= whole // 2:
+        if not _has_free_room(step, count, rooms, now) and _has_capacity(
+            step, 2 * count, rooms, now
+        ):
             return False
     return True
 
@@ -51,7 +51,7 @@
     job: active_job.ActiveJob,
     task: active_job.Task,
     base_s: float,
-    workers: collections.abc.Iterable[worker_lib.Worker],
+    rooms: room_index.RoomIndex,
     now: float,
     is_suspect: bool = False,
 ) -> tuple[worker_lib.Worker, float] | None:
@@ -61,7 +61,7 @@
         job: The task's job.
         task: The task.
         base_s: Its expected duration on a runner of average speed, in seconds.
-        workers: The workers that may be sent tasks.
+        rooms: The runners of the job's upstream.
         now: The time, in seconds.
         is_suspect: Whether the task may have crashed a runner.
 
@@ -71,18 +71,22 @@
     """
     step = job.job.steps[task.step]
     best: tuple[worker_lib.Worker, float] | None = None
-    for worker in workers:
-        if not worker.could_run(job.queue.upstream, step):
+    for worker in rooms.find(step.cpu):
+        if best is not None and base_s * worker.factor > best[1]:
+            break
+        if not _can_start(worker, step, now):
             continue
-        if not worker.fits(step) or not _is_allowed(worker, job, task, now):
+        if not _is_allowed(worker, job, task, now):
             continue
         if is_suspect and now < worker.trial_until:
             continue
         expected = base_s * worker.factor
         if is_remote(worker, step):
             expected *= REMOTE_FACTOR
-        if best is None or expected < best[1]:
+        if best is None or (expected, worker.order) < (best[1], best[0].order):
             best = (worker, expected)
+        if not step.data_rack:
+            break
     return best
 
 
@@ -91,6 +95,45 @@
     return bool(step.data_rack) and worker.rack != step.data_rack
 
 
+def _has_free_room(
+    step: scheduling.Step,
+    count: int,
+    rooms: room_index.RoomIndex,
+    now: float,
+) -> bool:
+    """Returns whether so many tasks of a step fit now."""
+    room = 0
+    for worker in rooms.find(step.cpu):
+        if worker.is_open(now) and worker.could_run(step):
+            room += worker.count_room(step)
+            if room >= count:
+                return True
+    return False
+
+
+def _has_capacity(
+    step: scheduling.Step,
+    count: int,
+    rooms: room_index.RoomIndex,
+    now: float,
+) -> bool:
+    """Returns whether so many tasks of a step would fit on idle runners."""
+    capacity = 0
+    for worker in rooms.list_all():
+        if worker.is_open(now) and worker.could_run(step):
+            capacity += worker.runner.cpu // max(step.cpu, 1)
+            if capacity >= count:
+                return True
+    return False
+
+
+def _can_start(
+    worker: worker_lib.Worker, step: scheduling.Step, now: float
+) -> bool:
+    """Returns whether a worker takes tasks and has room for one of a step."""
+    return worker.fits(step) and worker.could_run(step) and worker.is_open(now)
+
+
 def _is_allowed(
     worker: worker_lib.Worker,
     job: active_job.ActiveJob,
--- a/src/skylarkcleat/scheduling/recent_outcomes.py
+++ b/src/skylarkcleat/scheduling/recent_outcomes.py
@@ -78,6 +78,11 @@
         known = self.find_crashes(task)
         self._current.crashes[task] = known.add(run_s, is_certain)
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether a runner was lost under any task recently."""
+        return bool(self._current.crashes or self._previous.crashes)
+
     def find_crashes(self, task: str) -> crashes_lib.Crashes:
         """Returns the runners that were lost under a task."""
         found = self._current.crashes.get(task)
--- /dev/null
+++ b/src/skylarkcleat/scheduling/room_index.py
@@ -0,0 +1,136 @@
+"""The runners of one upstream, ordered by speed, with the room that each has.
+
+Finds the fastest runner that has room without a look at each of them: on large
+fleets most runners are occupied, and a decision is made for every task.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc
+import typing as t
+
+from skylarkcleat.scheduling import worker as worker_lib
+
+BLOCK_SIZE = 32
+"""The usual number of runners in a block; a block of twice as many is split."""
+
+
+class _Entry(t.NamedTuple):
+    factor: float
+    order: int
+    worker: worker_lib.Worker
+
+
+class _Block:
+    """Some consecutive entries.
+
+    Attributes:
+        entries: The entries, sorted.
+        max_cpu: The most free processor of any of them, in thousandths of a
+            core.
+    """
+
+    def __init__(self, entries: list[_Entry]) -> None:
+        self.entries = entries
+        self.max_cpu = 0
+        self.update_max()
+
+    def update_max(self) -> None:
+        """Updates `max_cpu` after a change of an entry."""
+        free = [entry.worker.free_cpu for entry in self.entries]
+        self.max_cpu = max(free, default=0)
+
+
+class RoomIndex:
+    """Workers sorted by duration factor, in blocks that know their most room.
+
+    Attributes:
+        visited: How many entries and blocks were looked at, for tests.
+    """
+
+    def __init__(self) -> None:
+        self.visited = 0
+        self._blocks: list[_Block] = []
+        self._known: dict[str, _Entry] = {}
+
+    def __len__(self) -> int:
+        """Returns how many workers there are."""
+        return len(self._known)
+
+    def __contains__(self, side: str) -> bool:
+        """Returns whether the worker of a side process is listed."""
+        return side in self._known
+
+    def update(self, worker: worker_lib.Worker) -> None:
+        """Adds a worker, or takes over its present factor and room."""
+        entry = _Entry(worker.factor, worker.order, worker)
+        known = self._known.get(worker.side)
+        if known is not None:
+            if known.worker is worker and known.factor == entry.factor:
+                self._find_block(known).update_max()
+                return
+            self._remove(known)
+        self._known[worker.side] = entry
+        self._insert(entry)
+
+    def discard(self, side: str) -> None:
+        """Removes the worker of a side process, if it is listed."""
+        known = self._known.pop(side, None)
+        if known is not None:
+            self._remove(known)
+
+    def find(self, cpu: int) -> collections.abc.Iterator[worker_lib.Worker]:
+        """Yields the workers with free cores, the fastest first.
+
+        The workers must not be updated meanwhile.
+
+        Args:
+            cpu: The free cores that are needed, in thousandths of a core.
+        """
+        for block in self._blocks:
+            self.visited += 1
+            if block.max_cpu < cpu:
+                continue
+            for entry in block.entries:
+                self.visited += 1
+                if entry.worker.free_cpu >= cpu:
+                    yield entry.worker
+
+    def list_all(self) -> collections.abc.Iterator[worker_lib.Worker]:
+        """Yields all workers, the fastest first."""
+        for block in self._blocks:
+            for entry in block.entries:
+                self.visited += 1
+                yield entry.worker
+
+    def _insert(self, entry: _Entry) -> None:
+        if not self._blocks:
+            self._blocks.append(_Block([entry]))
+            return
+        block = self._find_block(entry)
+        bisect.insort(block.entries, entry)
+        if len(block.entries) < 2 * BLOCK_SIZE:
+            block.max_cpu = max(block.max_cpu, entry.worker.free_cpu)
+            return
+        upper = _Block(block.entries[BLOCK_SIZE:])
+        del block.entries[BLOCK_SIZE:]
+        block.update_max()
+        self._blocks.insert(self._blocks.index(block) + 1, upper)
+
+    def _remove(self, entry: _Entry) -> None:
+        block = self._find_block(entry)
+        del block.entries[bisect.bisect_left(block.entries, entry)]
+        if block.entries:
+            block.update_max()
+        else:
+            self._blocks.remove(block)
+
+    def _find_block(self, entry: _Entry) -> _Block:
+        """Returns the block that has or should have an entry."""
+        place = bisect.bisect_right(self._blocks, entry, key=_find_first)
+        return self._blocks[max(place - 1, 0)]
+
+
+def _find_first(block: _Block) -> _Entry:
+    return block.entries[0]
--- a/src/skylarkcleat/scheduling/run_endings.py
+++ b/src/skylarkcleat/scheduling/run_endings.py
@@ -9,6 +9,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import job_endings as job_endings_lib
 from skylarkcleat.scheduling import owner_state
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import placement
 from skylarkcleat.scheduling import worker as worker_lib
 
@@ -52,7 +53,7 @@
     def record_missing(
         self,
         worker: worker_lib.Worker,
-        placed: worker_lib.PlacedRun,
+        placed: placed_run.PlacedRun,
         now: float,
     ) -> None:
         """Records that a run is not there, which a worker's report shows."""
@@ -65,7 +66,7 @@
     def record_lost(
         self,
         worker: worker_lib.Worker,
-        placed: worker_lib.PlacedRun,
+        placed: placed_run.PlacedRun,
         now: float,
         *,
         is_certain: bool,
@@ -98,7 +99,7 @@
         self,
         worker: worker_lib.Worker,
         end: scheduling.End,
-        placed: worker_lib.PlacedRun | None,
+        placed: placed_run.PlacedRun | None,
         now: float,
     ) -> None:
         jobs = self._state.jobs
@@ -132,7 +133,7 @@
         self,
         worker: worker_lib.Worker,
         job: active_job.ActiveJob,
-        placed: worker_lib.PlacedRun,
+        placed: placed_run.PlacedRun,
         now: float,
     ) -> None:
         worker.speed.failures = 0
@@ -146,7 +147,7 @@
         base_s = estimates.predict_s(queue, estimate_ms)
         if placement.is_remote(worker, placed.step):
             took_s /= placement.REMOTE_FACTOR
-        worker.speed.record_duration(took_s, base_s, now)
+        worker.record_duration(took_s, base_s, now)
         estimates.record_duration(queue, took_s, estimate_ms / 1000 * factor)
 
 
--- a/src/skylarkcleat/scheduling/side_reports.py
+++ b/src/skylarkcleat/scheduling/side_reports.py
@@ -6,7 +6,7 @@
 from skylarkcleat.scheduling import adoption as adoption_lib
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import run_endings as run_endings_lib
-from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import worker_phase
 
 
 class SideReports:
@@ -118,7 +118,7 @@
         if worker is None:
             return
         lost = {(run.task, run.run) for run in message.runs}
-        is_report = worker.phase is worker_lib.Phase.REPORTING
+        is_report = worker.phase is worker_phase.Phase.REPORTING
         for placed in list(worker.runs.values()):
             is_certain = (placed.task, placed.run) in lost
             if is_report or is_certain:
--- a/src/skylarkcleat/scheduling/speed.py
+++ b/src/skylarkcleat/scheduling/speed.py
@@ -16,7 +16,7 @@
 _RUNNER_WEIGHT = 0.3
 _MAX_FACTOR = math.log(30)
 _MIN_DURATION_S = 0.001
-_LATE_LOG_RATIO = math.log(1.5)
+LATE_RATIO = 1.5
 """A run is late only beyond 1.5 times its expected duration: within a queue,
 durations vary that much."""
 
@@ -52,6 +52,12 @@
         idle_s = max(0.0, now - self._sampled_at - SLOWNESS_DECAY_S)
         return math.exp(self._log_factor * 0.5 ** (idle_s / SLOWNESS_DECAY_S))
 
+    def find_decay_at(self, now: float) -> float:
+        """Returns when the factor decays next without a finished task."""
+        if self._log_factor <= 0:
+            return math.inf
+        return max(now, self._sampled_at + SLOWNESS_DECAY_S)
+
     def find_current_factor(
         self, now: float, lateness: collections.abc.Iterable[float]
     ) -> float:
@@ -66,7 +72,7 @@
                 expected duration.
         """
         errors = [math.log(late) for late in lateness if late > 1]
-        errors = [error for error in errors if error > _LATE_LOG_RATIO]
+        errors = [error for error in errors if error > math.log(LATE_RATIO)]
         late = min(sum(errors) * _RUNNER_WEIGHT, max(errors, default=0.0))
         return self.find_factor(now) * math.exp(min(late, _MAX_FACTOR))
 
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -6,6 +6,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
 from skylarkcleat.scheduling import owner_state
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import placement
 from skylarkcleat.scheduling import worker as worker_lib
 
@@ -22,26 +23,21 @@
 
     def place(self, now: float) -> None:
         """Starts tasks that fit, if anything changed since the last call."""
-        jobs, all_workers = self._state.jobs, self._state.workers
-        if not jobs.needs_placement or not all_workers.settling.is_settled(now):
+        jobs, settling = self._state.jobs, self._state.workers.settling
+        if not jobs.needs_placement or not settling.is_settled(now):
             return
         jobs.needs_placement = False
-        all_workers.update_factors(now)
-        workers = all_workers.list_open(now)
-        jobs.backlog.place(now, lambda job: self._place_job(job, workers, now))
+        jobs.backlog.place(now, lambda job: self._place_job(job, now))
 
-    def _place_job(
-        self,
-        job: active_job.ActiveJob,
-        workers: list[worker_lib.Worker],
-        now: float,
-    ) -> bool:
+    def _place_job(self, job: active_job.ActiveJob, now: float) -> bool:
         if now < job.startable_at or not self._state.is_attended(job, now):
             return False
         waiting = job.list_startable()
         if any(self._is_stopping(task) for task in waiting):
             return False
-        if not job.started and not placement.has_room(job, waiting, workers):
+        workers, upstream = self._state.workers, job.queue.upstream
+        rooms = workers.find_rooms(upstream, now)
+        if not job.started and not placement.has_room(job, waiting, rooms, now):
             return False
         for task in waiting:
             step = job.job.steps[task.step]
@@ -50,7 +46,12 @@
             )
             crashes = self._state.jobs.recent.find_crashes(task.name)
             choice = placement.choose_worker(
-                job, task, base_s, workers, now, crashes.is_suspect
+                job,
+                task,
+                base_s,
+                workers.find_rooms(upstream, now),
+                now,
+                crashes.is_suspect,
             )
             if choice is None:
                 return False
@@ -78,7 +79,7 @@
         task.place(max(task.run, highest_run) + 1, worker.side)
         job.started = True
         worker.add(
-            worker_lib.PlacedRun(task.name, task.run, step, now, expected_s)
+            placed_run.PlacedRun(task.name, task.run, step, now, expected_s)
         )
         start = scheduling.Start(
             worker.epoch,
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import enum
-import typing as t
+import math
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import speed as speed_lib
+from skylarkcleat.scheduling import worker_changes as worker_changes_lib
+from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.wire import session as session_lib
 
 FACTOR_INTERVAL_S = 0.02
@@ -27,72 +29,32 @@
 register again. A runner that does not answer is given up after 0.9 s."""
 
 
-class Phase(enum.Enum):
-    """Whether a side process has reported its runs and may get tasks.
-
-    `OUTDATED` means that it may have run another owner's tasks since, so that
-    it has to register and report again.
-    """
-
-    REPORTING = "reporting"
-    READY = "ready"
-    OUTDATED = "outdated"
-
-
-class Closed(enum.StrEnum):
-    """Why a side process may not be sent tasks."""
-
-    NONE = ""
-    REPORTING = "reporting"
-    OUTDATED = "outdated"
-    NO_RUNNER = "no-runner"
-    DRAINING = "draining"
-    UNRESPONSIVE = "unresponsive"
-    TOO_NEW = "too-new"
-    PAUSED = "paused"
-    LEASE_LATE = "lease-late"
-
-
 _CLOSED_PHASES = {
-    Phase.REPORTING: Closed.REPORTING,
-    Phase.OUTDATED: Closed.OUTDATED,
+    worker_phase.Phase.REPORTING: worker_phase.Closed.REPORTING,
+    worker_phase.Phase.OUTDATED: worker_phase.Closed.OUTDATED,
 }
 
 
-class PlacedRun(t.NamedTuple):
-    """A run that was ordered and whose end is not known.
-
-    Attributes:
-        task: The task's name.
-        run: Its number.
-        step: The step, with the resources that the run uses.
-        started_at: When it was ordered, in seconds.
-        expected_s: Its expected duration on that runner; 0 for a run that this
-            owner did not order.
-    """
-
-    task: str
-    run: int
-    step: scheduling.Step
-    started_at: float
-    expected_s: float
-
-
 class Worker:
     """One side process under one lease.
 
+    Args:
+        register: The request for the lease.
+        peer: The incarnation that sent it.
+        now: The time, in seconds.
+        open_at: From when on it may be sent tasks, in seconds.
+        speed: The measured speed of the runner.
+        changes: Is told of each change of its room, runner or phase.
+        order: Its number among the owner's side processes.
+
     Attributes:
         side: The side process's name.
         peer: Its incarnation.
         epoch: The fencing token of its lease.
         zone: Its availability zone.
-        runner: The runner's last description of itself; None before that.
-        phase: Whether it has reported its runs.
         registered_at: When the lease was first granted, in seconds.
         granted_at: When the lease was last granted or renewed, in seconds.
         open_at: From when on it may be sent tasks, in seconds.
-        unresponsive_since: Since when its runner does not respond, in seconds;
-            None if it does.
         has_restarted: Whether its runner has started anew since the runs that
             its former lease left.
         paused_until: Until when it gets no tasks, since it refused one for
@@ -103,6 +65,10 @@
         speed: The measured speed of the runner.
         factor: The expected duration of tasks there relative to the average
             runner, as of the last `update_factor`.
+        factor_due_at: From when on `factor` may be out of date, in seconds.
+        free_cpu: The cores that no run uses, in thousandths of a core; 0
+            without a runner, negative if its capacity has shrunk.
+        order: Its number among the owner's side processes.
     """
 
     def __init__(
@@ -112,27 +78,63 @@
         now: float,
         open_at: float,
         speed: speed_lib.RunnerSpeed,
+        changes: worker_changes_lib.WorkerChanges | None = None,
+        order: int = 0,
     ) -> None:
+        self._changes = changes or worker_changes_lib.WorkerChanges()
+        self.order = order
         self.side = register.side
         self.peer = peer
         self.epoch = register.epoch
         self.zone = register.zone
-        self.runner = register.runner
-        self.phase = Phase.REPORTING
+        self._runner = register.runner
+        self._phase = worker_phase.Phase.REPORTING
         self.registered_at = now
         self.granted_at = now
         self.open_at = open_at
-        self.unresponsive_since: float | None = None
+        self._unresponsive_since: float | None = None
         self.has_restarted = False
         self.paused_until = 0.0
         self.trial_until = 0.0
-        self.runs: dict[str, PlacedRun] = {}
+        self.runs: dict[str, placed_run.PlacedRun] = {}
         self.speed = speed
         self.factor = speed.find_factor(now)
-        self._factor_updated_at = now
+        self.factor_due_at = now
         self._used_cpu = 0
         self._used_memory_mb = 0
         self._used_gpu = 0
+        self.free_cpu = 0
+        self._update_room()
+
+    @property
+    def runner(self) -> scheduling.Runner | None:
+        """The runner's last description of itself; None before that."""
+        return self._runner
+
+    @runner.setter
+    def runner(self, runner: scheduling.Runner | None) -> None:
+        self._runner = runner
+        self._update_room()
+
+    @property
+    def phase(self) -> worker_phase.Phase:
+        """Whether it has reported its runs."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase: worker_phase.Phase) -> None:
+        self._phase = phase
+        self._changes.record(self.side)
+
+    @property
+    def unresponsive_since(self) -> float | None:
+        """Since when its runner does not respond, in seconds, if so."""
+        return self._unresponsive_since
+
+    @unresponsive_since.setter
+    def unresponsive_since(self, since: float | None) -> None:
+        self._unresponsive_since = since
+        self._changes.record(self.side)
 
     @property
     def expires_at(self) -> float:
@@ -146,11 +148,6 @@
             return ""
         return self.runner.labels[-1]
 
-    @property
-    def is_unresponsive(self) -> bool:
-        """Whether its runner does not respond."""
-        return self.unresponsive_since is not None
-
     def inherit(self, previous: Worker) -> None:
         """Takes over the runs of an earlier lease, until they are reported."""
         for placed in previous.runs.values():
@@ -162,29 +159,48 @@
 
     def must_register_again(self, now: float) -> bool:
         """Returns whether only another registration can open it."""
-        if self.phase is Phase.REPORTING:
+        if self.phase is worker_phase.Phase.REPORTING:
             return now - self.registered_at >= REPORT_TIMEOUT_S
-        return self.phase is Phase.OUTDATED
+        return self.phase is worker_phase.Phase.OUTDATED
+
+    @property
+    def may_open(self) -> bool:
+        """Whether it may be sent tasks as far as that depends on no time."""
+        return (
+            self._phase is worker_phase.Phase.READY
+            and self._runner is not None
+            and not self._runner.draining
+            and self._unresponsive_since is None
+        )
 
     def is_open(self, now: float) -> bool:
         """Returns whether tasks may be sent."""
-        return self.find_obstacle(now) is Closed.NONE
+        return (
+            self.may_open
+            and now < self.granted_at + lease.FRONT_LEASE_S
+            and now >= self.open_at
+            and now >= self.paused_until
+        )
 
-    def find_obstacle(self, now: float) -> Closed:
+    def find_obstacle(self, now: float) -> worker_phase.Closed:
         """Returns why no tasks may be sent."""
-        if self.phase is not Phase.READY:
+        if self.phase is not worker_phase.Phase.READY:
             return _CLOSED_PHASES[self.phase]
         if self.runner is None:
-            return Closed.NO_RUNNER
+            return worker_phase.Closed.NO_RUNNER
         if self.runner.draining:
-            return Closed.DRAINING
-        if self.is_unresponsive:
-            return Closed.UNRESPONSIVE
+            return worker_phase.Closed.DRAINING
+        if self._unresponsive_since is not None:
+            return worker_phase.Closed.UNRESPONSIVE
         if now >= self.granted_at + lease.FRONT_LEASE_S:
-            return Closed.LEASE_LATE
+            return worker_phase.Closed.LEASE_LATE
         if now < self.open_at:
-            return Closed.TOO_NEW
-        return Closed.PAUSED if now < self.paused_until else Closed.NONE
+            return worker_phase.Closed.TOO_NEW
+        return (
+            worker_phase.Closed.PAUSED
+            if now < self.paused_until
+            else worker_phase.Closed.NONE
+        )
 
     def record_refusal(self, reason: str, now: float) -> None:
         """Records that the side process refused a start."""
@@ -193,12 +209,23 @@
         else:
             self.speed.record_failure(now)
 
+    def record_duration(self, took_s: float, base_s: float, now: float) -> None:
+        """Records the duration of a run that was done here.
+
+        Args:
+            took_s: The duration, in seconds.
+            base_s: The expected duration on an average runner, in seconds.
+            now: The time, in seconds.
+        """
+        self.speed.record_duration(took_s, base_s, now)
+        self._expire_factor(now)
+
     def update_factor(self, now: float) -> None:
-        """Updates `factor` unless it is recent."""
-        if now - self._factor_updated_at < FACTOR_INTERVAL_S:
+        """Updates `factor` if it may have changed, and when it may next."""
+        if now < self.factor_due_at:
             return
-        self._factor_updated_at = now
         lateness: dict[str, float] = {}
+        late_at = math.inf
         for run in self.runs.values():
             if run.expected_s > 0:
                 # The tasks of a job share the error of its estimate, so only
@@ -206,7 +233,10 @@
                 job = run.task.partition(".")[0]
                 late = (now - run.started_at) / run.expected_s
                 lateness[job] = min(late, lateness.get(job, late))
+                late_at = min(late_at, placed_run.find_late_at(run))
         self.factor = self.speed.find_current_factor(now, lateness.values())
+        due_at = min(late_at, self.speed.find_decay_at(now))
+        self.factor_due_at = max(due_at, now + FACTOR_INTERVAL_S)
 
     def fits(self, step: scheduling.Step) -> bool:
         """Returns whether the runner has room for a task of a step."""
@@ -222,29 +252,34 @@
         free = self.runner.cpu - self._used_cpu
         return max(free // max(step.cpu, 1), 0) if self.fits(step) else 0
 
-    def could_run(self, upstream: str, step: scheduling.Step) -> bool:
+    def could_run(self, step: scheduling.Step) -> bool:
         """Returns whether the runner, if idle, could run a task of a step."""
         runner = self.runner
         return (
             runner is not None
-            and runner.upstream == upstream
             and step.cpu <= runner.cpu
             and step.memory_mb <= runner.memory_mb
             and step.gpu <= runner.gpu
             and (not step.requirement or step.requirement in runner.labels)
         )
 
-    def add(self, placed: PlacedRun) -> None:
+    def add(self, placed: placed_run.PlacedRun) -> None:
         """Adds a run and the resources that it uses."""
         self.runs[placed.task] = placed
+        self._changes.record_run(placed.task, self.side)
+        if placed.expected_s > 0:
+            self._expire_factor(placed_run.find_late_at(placed))
         self._adjust_usage(placed.step, 1)
 
-    def remove(self, task: str, run: int) -> PlacedRun | None:
+    def remove(self, task: str, run: int) -> placed_run.PlacedRun | None:
         """Removes a run that is over; returns it, or None if unknown."""
         placed = self.runs.get(task)
         if placed is None or placed.run != run:
             return None
         del self.runs[task]
+        self._changes.discard_run(task, self.side)
+        if placed.expected_s > 0:
+            self.factor_due_at = 0.0
         self._adjust_usage(placed.step, -1)
         return placed
 
@@ -252,6 +287,15 @@
         self._used_cpu += sign * step.cpu
         self._used_memory_mb += sign * step.memory_mb
         self._used_gpu += sign * step.gpu
+        self._update_room()
+
+    def _expire_factor(self, at: float) -> None:
+        self.factor_due_at = min(self.factor_due_at, at)
+
+    def _update_room(self) -> None:
+        cpu = self._runner.cpu if self._runner else 0
+        self.free_cpu = cpu - self._used_cpu
+        self._changes.record(self.side)
 
 
 def _identify(runner: scheduling.Runner | None) -> tuple[str, int]:
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -7,13 +7,20 @@
 
 import collections
 import collections.abc
+import heapq
+import math
+import typing as t
 
 import eliot
 
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import placed_run
+from skylarkcleat.scheduling import room_index as room_index_lib
 from skylarkcleat.scheduling import settling as settling_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import worker_changes as worker_changes_lib
+from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
@@ -24,6 +31,13 @@
 every side process that may run tasks."""
 
 
+class _DueFactor(t.NamedTuple):
+    """When a worker's duration factor has to be updated."""
+
+    at: float
+    side: str
+
+
 class Workers:
     """Grants leases, and tracks leases of a previous owner that may be valid.
 
@@ -48,6 +62,13 @@
         self._announced_at: dict[str, float] = {}
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
         self._log = workers_log.WorkersLog(now)
+        self._changes = worker_changes_lib.WorkerChanges()
+        self._rooms: dict[str, room_index_lib.RoomIndex] = {}
+        self._listed: dict[str, room_index_lib.RoomIndex] = {}
+        self._due: list[_DueFactor] = []
+        self._due_at: dict[str, float] = {}
+        self._registered = 0
+        self._expiry_due_at = now
         self.expect_sides(sides, now)
 
     def expect_sides(
@@ -66,7 +87,7 @@
             self.settling.expect(side, now)
             worker = self.by_side.get(side)
             if worker is not None:
-                worker.phase = worker_lib.Phase.OUTDATED
+                worker.phase = worker_phase.Phase.OUTDATED
                 outdated.append(worker)
         return outdated
 
@@ -90,7 +111,11 @@
         open_at = (
             self._announced_at.setdefault(message.side, now) + QUARANTINE_S
         )
-        worker = worker_lib.Worker(message, peer, now, open_at, speed)
+        self._registered += 1
+        order = previous.order if previous else self._registered
+        worker = worker_lib.Worker(
+            message, peer, now, open_at, speed, self._changes, order
+        )
         if previous is not None:
             worker.inherit(previous)
         self.by_side[message.side] = worker
@@ -103,9 +128,9 @@
 
     def record_report(self, worker: worker_lib.Worker) -> None:
         """Records that a worker has reported all its runs."""
-        if worker.phase is worker_lib.Phase.OUTDATED:
+        if worker.phase is worker_phase.Phase.OUTDATED:
             return
-        worker.phase = worker_lib.Phase.READY
+        worker.phase = worker_phase.Phase.READY
         self.settling.record_report(worker.side)
 
     def remove(
@@ -114,6 +139,9 @@
         """Removes a worker under whose lease no task can run any more."""
         del self.by_side[worker.side]
         self._announced_at.pop(worker.side, None)
+        self._changes.record(worker.side)
+        for task in worker.runs:
+            self._changes.discard_run(task, worker.side)
         eliot.log_message(
             "owner:worker-lost",
             side=worker.side,
@@ -125,18 +153,56 @@
 
     def list_expired(self, now: float) -> list[worker_lib.Worker]:
         """Returns the workers under whose leases no task can run any more."""
+        if now < self._expiry_due_at:
+            return []
         workers = self.by_side.values()
-        return [worker for worker in workers if now >= worker.expires_at]
+        expired = [worker for worker in workers if now >= worker.expires_at]
+        # Leases are only ever extended, and a new one lasts longer than all.
+        self._expiry_due_at = min(
+            (each.expires_at for each in workers if now < each.expires_at),
+            default=now,
+        )
+        return expired
 
     def expire_unreported(self, now: float) -> None:
         """Drops sides whose leases from a previous owner have expired."""
         for side in self.settling.expire(self.by_side, now):
             self._announced_at.pop(side, None)
 
-    def update_factors(self, now: float) -> None:
-        """Updates the workers' duration factors."""
-        for worker in self.by_side.values():
-            worker.update_factor(now)
+    def find_rooms(self, upstream: str, now: float) -> room_index_lib.RoomIndex:
+        """Returns the runners of an upstream, up to date.
+
+        Those whose lease is late, or that are paused, are among them.
+        """
+        while self._due and self._due[0].at <= now:
+            due = heapq.heappop(self._due)
+            if self._due_at.get(due.side) == due.at:
+                self._changes.record(due.side)
+        for side in self._changes.take():
+            self._update_side(side, now)
+        return self._rooms.setdefault(upstream, room_index_lib.RoomIndex())
+
+    def _update_side(self, side: str, now: float) -> None:
+        worker = self.by_side.get(side)
+        listed = self._listed.get(side)
+        rooms = None
+        if worker is not None and worker.may_open:
+            rooms = self._rooms.setdefault(
+                worker.runner.upstream, room_index_lib.RoomIndex()
+            )
+        if listed is not None and listed is not rooms:
+            listed.discard(side)
+            del self._listed[side]
+            self._due_at.pop(side, None)
+        if rooms is None:
+            return
+        worker.update_factor(now)
+        rooms.update(worker)
+        self._listed[side] = rooms
+        at = worker.factor_due_at
+        if self._due_at.get(side) != at and at != math.inf:
+            self._due_at[side] = at
+            heapq.heappush(self._due, _DueFactor(at, side))
 
     def list_open(self, now: float) -> list[worker_lib.Worker]:
         """Returns the workers that may be sent tasks."""
@@ -144,15 +210,14 @@
 
     def log_closed(self, now: float) -> None:
         """Logs at intervals how many side processes get no tasks, and why."""
+        if not self._log.is_due(now):
+            return
         obstacles = [each.find_obstacle(now) for each in self.by_side.values()]
         self._log.record(collections.Counter(obstacles), now)
 
     def list_runs(
         self, task: str
-    ) -> list[tuple[worker_lib.Worker, worker_lib.PlacedRun]]:
+    ) -> list[tuple[worker_lib.Worker, placed_run.PlacedRun]]:
         """Returns the runs of a task, with their workers."""
-        return [
-            (worker, worker.runs[task])
-            for worker in self.by_side.values()
-            if task in worker.runs
-        ]
+        workers = [self.by_side[s] for s in self._changes.list_sides(task)]
+        return [(worker, worker.runs[task]) for worker in workers]
--- a/src/skylarkcleat/scheduling/workers_log.py
+++ b/src/skylarkcleat/scheduling/workers_log.py
@@ -6,11 +6,14 @@
 
 import eliot
 
-from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import worker_phase
 
 INTERVAL_S = 0.5
 """The shortest interval between two lines."""
 
+CHECK_INTERVAL_S = 0.1
+"""How often the counts are taken: each takes a look at every side process."""
+
 WORKERS = "owner:workers"
 """The type of the line."""
 
@@ -23,13 +26,21 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._logged: collections.Counter[worker_lib.Closed] | None = None
+        self._logged: collections.Counter[worker_phase.Closed] | None = None
         self._logged_at = now - INTERVAL_S
+        self._checked_at = now - CHECK_INTERVAL_S
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether to count the side processes, for a line."""
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return False
+        return now - self._logged_at >= INTERVAL_S
 
     def record(
-        self, obstacles: collections.Counter[worker_lib.Closed], now: float
+        self, obstacles: collections.Counter[worker_phase.Closed], now: float
     ) -> None:
         """Records how many side processes there are with each obstacle."""
+        self._checked_at = now
         if obstacles == self._logged or now - self._logged_at < INTERVAL_S:
             return
         self._logged = obstacles
@@ -37,10 +48,10 @@
         closed = {
             obstacle.value: count
             for obstacle, count in sorted(obstacles.items())
-            if obstacle is not worker_lib.Closed.NONE
+            if obstacle is not worker_phase.Closed.NONE
         }
         eliot.log_message(
             WORKERS,
-            open=obstacles[worker_lib.Closed.NONE],
+            open=obstacles[worker_phase.Closed.NONE],
             closed=closed,
         )
--- a/tests/test_scheduling_speed.py
+++ b/tests/test_scheduling_speed.py
@@ -5,6 +5,7 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
@@ -65,7 +66,7 @@
     step = scheduling.Step(8, 1000, 64, 0, 100)
     for number in range(8):
         job = f"{number % jobs:016x}"
-        placed = worker_lib.PlacedRun(f"{job}.0.0.{number}", 1, step, 0.0, 0.1)
+        placed = placed_run.PlacedRun(f"{job}.0.0.{number}", 1, step, 0.0, 0.1)
         worker.add(placed)
     worker.update_factor(0.3)
     assert (worker.factor > 1.6) is is_slow
--- a/tests/test_scheduling_workers_log.py
+++ b/tests/test_scheduling_workers_log.py
@@ -10,11 +10,12 @@
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
 RUNNER = scheduling.Runner("i-1", 1, "desk", 8000, 1024, 0, (), False)
-CLOSED = worker_lib.Closed
+CLOSED = worker_phase.Closed
 
 
 def create_worker(**changes):
@@ -23,7 +24,7 @@
     worker = worker_lib.Worker(
         register, peer, 0.0, 0.0, speed_lib.RunnerSpeed()
     )
-    worker.phase = worker_lib.Phase.READY
+    worker.phase = worker_phase.Phase.READY
     for name, value in changes.items():
         setattr(worker, name, value)
     return worker
@@ -33,8 +34,8 @@
     ("changes", "obstacle"),
     [
         ({}, CLOSED.NONE),
-        ({"phase": worker_lib.Phase.REPORTING}, CLOSED.REPORTING),
-        ({"phase": worker_lib.Phase.OUTDATED}, CLOSED.OUTDATED),
+        ({"phase": worker_phase.Phase.REPORTING}, CLOSED.REPORTING),
+        ({"phase": worker_phase.Phase.OUTDATED}, CLOSED.OUTDATED),
         ({"runner": None}, CLOSED.NO_RUNNER),
         ({"runner": RUNNER._replace(draining=True)}, CLOSED.DRAINING),
         ({"unresponsive_since": 0.0}, CLOSED.UNRESPONSIVE),
