End one message or pass, not the process, at an unexpected error

Callers would have seen a front or side process end, with all jobs in flight, at the first error that nobody foresaw: the first exception of any task ended it, and the loops that receive messages contained none. The hub's own tasks were worse: they ended silently, and the process went on deaf.

Receive loops contain each message. The replicas' own loop stays fail-stop on purpose: half of a change applied to a log is worse than a restart that reads the disk. Frames nested too deeply are malformed.

--- a/src/skylarkcleat/consensus/codec.py
+++ b/src/skylarkcleat/consensus/codec.py
@@ -75,7 +75,7 @@
                 f"expected {VERSION}"
             )
         message = _bodies[frame.kind].decode(frame.body)
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (msgspec.MsgspecError, KeyError, RecursionError) as error:
         raise DecodeError(f"not a replication message: {error}") from error
     return message_lib.Envelope(
         frame.cluster, frame.sender, frame.receiver, message
--- a/src/skylarkcleat/consensus/links.py
+++ b/src/skylarkcleat/consensus/links.py
@@ -188,7 +188,7 @@
     def _handle_ping(self, data: bytes) -> None:
         try:
             ping = msgspec.msgpack.decode(data, type=_Ping)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return
         if ping.name in self._links:
             self._links[ping.name].handle_ping(ping)
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -9,6 +9,7 @@
 import eliot
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.configuration import content
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
@@ -135,9 +136,13 @@
         """Returns the coroutines that run as long as the process."""
         tasks = [
             self._receive_events(),
-            self._peer_discovery.run(),
-            self._election_task.run(),
-            self._resend_on_target_change(),
+            supervision.keep_running(
+                "discover fronts", self._peer_discovery.run
+            ),
+            supervision.keep_running("elect an owner", self._election_task.run),
+            supervision.keep_running(
+                "send open requests", self._resend_on_target_change
+            ),
         ]
         if self._log is not None:
             tasks.append(self._log.wait())
@@ -272,10 +277,21 @@
 
     async def _receive_events(self) -> None:
         while True:
-            self._handle_event(await self._hub.events.get())
+            self._contain_event(await self._hub.events.get())
             while not self._hub.events.empty():
-                self._handle_event(self._hub.events.get_nowait())
-            self._ownership.place_and_send()
+                self._contain_event(self._hub.events.get_nowait())
+            try:
+                self._ownership.place_and_send()
+            except Exception as error:
+                supervision.log_unexpected("place tasks", error)
+
+    def _contain_event(self, event: event_lib.Event) -> None:
+        try:
+            self._handle_event(event)
+        except Exception as error:
+            supervision.log_unexpected(
+                "handle a message", error, event.peer.name
+            )
 
     def _handle_event(self, event: event_lib.Event) -> None:
         if isinstance(event, event_lib.Lost):
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -7,6 +7,7 @@
 import eliot
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
@@ -54,9 +55,9 @@
         """Returns the coroutines that run as long as the process."""
         return [
             self._receive_events(),
-            self._registration.run(),
-            self._probes.run(),
-            self._orders.run(),
+            supervision.keep_running("keep a lease", self._registration.run),
+            supervision.keep_running("probe the runner", self._probes.run),
+            supervision.keep_running("stop overdue runs", self._orders.run),
         ]
 
     def handle_heartbeat(self, heartbeat: runner_body.Heartbeat) -> None:
@@ -127,8 +128,14 @@
     async def _receive_events(self) -> None:
         while True:
             event = await self._hub.events.get()
-            if isinstance(event, event_lib.Received):
+            if not isinstance(event, event_lib.Received):
+                continue
+            try:
                 self._receive(event.peer.name, event.message)
+            except Exception as error:
+                supervision.log_unexpected(
+                    "handle a message", error, event.peer.name
+                )
 
     def _receive(self, sender: str, message: t.Any) -> None:
         held = self._state.lease
--- a/src/skylarkcleat/side/state.py
+++ b/src/skylarkcleat/side/state.py
@@ -5,9 +5,8 @@
 import asyncio
 import typing as t
 
-import eliot
-
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.scheduling import run_table as run_table_lib
 from skylarkcleat.scheduling import side_lease as side_lease_lib
@@ -50,7 +49,7 @@
         self.stops_changed = asyncio.Event()
         self._hub = hub
         self._port = settings.port_range[0]
-        self._calls: set[asyncio.Task] = set()
+        self._calls = supervision.BackgroundTasks("call the runner")
 
     @property
     def runner_id(self) -> str:
@@ -85,16 +84,8 @@
 
     def spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
         """Runs a call of the runner beside everything else."""
-        task = asyncio.create_task(work)
-        self._calls.add(task)
-        task.add_done_callback(self._end_call)
+        self._calls.spawn(work)
 
     def cancel_calls(self) -> None:
         """Cancels the calls that were spawned."""
-        for call in list(self._calls):
-            call.cancel()
-
-    def _end_call(self, task: asyncio.Task) -> None:
-        self._calls.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            eliot.log_message("side:call-failed", reason=repr(task.exception()))
+        self._calls.cancel()
--- a/src/skylarkcleat/wire/codec.py
+++ b/src/skylarkcleat/wire/codec.py
@@ -73,7 +73,7 @@
             raise UnknownMessageError(f"message kind {kind!r} is not known")
         try:
             return decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise UnknownMessageError(
                 f"body of message {kind!r} is malformed: {error}"
             ) from error
--- a/src/skylarkcleat/wire/frame.py
+++ b/src/skylarkcleat/wire/frame.py
@@ -72,7 +72,7 @@
         )
     try:
         frame = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MalformedFrameError(f"not a frame: {error}") from error
     if frame.version != PROTOCOL_VERSION:
         raise MalformedFrameError(
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -12,6 +12,7 @@
 import zmq.asyncio
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.wire import acceptor as acceptor_lib
 from skylarkcleat.wire import codec as codec_lib
 from skylarkcleat.wire import frame as frame_lib
@@ -259,11 +260,16 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = clock_lib.read_monotonic()
-            heartbeat_s = self._find_heartbeat_s()
-            self._maintain_links(now, heartbeat_s)
-            if self._acceptor is not None:
-                self._acceptor.maintain(now, heartbeat_s)
+            try:
+                self._maintain(clock_lib.read_monotonic())
+            except Exception as error:
+                supervision.log_unexpected("maintain the sessions", error)
+
+    def _maintain(self, now: float) -> None:
+        heartbeat_s = self._find_heartbeat_s()
+        self._maintain_links(now, heartbeat_s)
+        if self._acceptor is not None:
+            self._acceptor.maintain(now, heartbeat_s)
 
     def _find_heartbeat_s(self) -> float:
         """Returns the heartbeat interval of each session, in seconds.
--- a/src/skylarkcleat/wire/link.py
+++ b/src/skylarkcleat/wire/link.py
@@ -9,6 +9,7 @@
 import zmq
 import zmq.asyncio
 
+from skylarkcleat import supervision
 from skylarkcleat.wire import dealer
 from skylarkcleat.wire import frame as frame_lib
 from skylarkcleat.wire import session as session_lib
@@ -74,7 +75,13 @@
 
     async def _receive(self, socket: zmq.asyncio.Socket) -> None:
         while not socket.closed:
-            self._on_frame(self, await socket.recv())
+            data = await socket.recv()
+            try:
+                self._on_frame(self, data)
+            except Exception as error:
+                supervision.log_unexpected(
+                    "handle a frame", error, self.session.remote.name
+                )
 
 
 def limit_queues(socket: zmq.asyncio.Socket) -> None:
