Refuse a configuration that the log could not read back

A configuration whose record is over 1 MiB, or whose bytes are none, was appended to the log and then ended every replica at apply, again after each start, so that operators and then callers would have been left without a log for good. A body of about 500 KB is enough, since a record holds the original and its decoded queues; the server takes bodies up to 1 MiB.

--- a/src/skylarkcleat/configuration/content.py
+++ b/src/skylarkcleat/configuration/content.py
@@ -90,14 +90,42 @@
         return None
 
 
+MAX_BYTES = 1_000_000
+"""The most bytes of an encoded configuration, about 2,000 queues. Records of
+the log and messages between processes have room for it."""
+
+
+class ContentError(ValueError):
+    """A configuration that is too large, or bytes that are none."""
+
+
 _DECODER = msgspec.msgpack.Decoder(Configuration)
 
 
 def encode(configuration: Configuration) -> bytes:
-    """Returns the bytes that `decode` takes."""
-    return msgspec.msgpack.encode(configuration)
+    """Returns the bytes that `decode` takes.
+
+    Raises:
+        ContentError: They are more than `MAX_BYTES`.
+    """
+    data = msgspec.msgpack.encode(configuration)
+    if len(data) > MAX_BYTES:
+        raise ContentError(
+            f"the configuration takes {len(data)} bytes, which is over the "
+            f"limit of {MAX_BYTES}"
+        )
+    return data
 
 
 def decode(data: bytes) -> Configuration:
-    """Returns the configuration that `encode` was given."""
-    return _DECODER.decode(data)
+    """Returns the configuration that `encode` was given.
+
+    Raises:
+        ContentError: The bytes are too many, or no configuration.
+    """
+    if len(data) > MAX_BYTES:
+        raise ContentError(f"{len(data)} bytes are over {MAX_BYTES}")
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ContentError(f"not a configuration: {error}") from error
--- a/src/skylarkcleat/front/log_service.py
+++ b/src/skylarkcleat/front/log_service.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import typing as t
 
 import eliot
 
+from skylarkcleat import supervision
 from skylarkcleat.configuration import content
 from skylarkcleat.configuration import record as record_lib
 from skylarkcleat.configuration import store as store_lib
@@ -34,7 +34,7 @@
         self._store = store
         self._log = log
         self._send = send
-        self._tasks: set[asyncio.Task] = set()
+        self._calls = supervision.BackgroundTasks("serve the log")
 
     def receive(
         self,
@@ -46,9 +46,20 @@
             verdict = scheduling.Verdict.NOT_OWNER
             self._reply(peer, message.request, verdict)
         elif isinstance(message, scheduling.PutConfiguration):
-            self._spawn(self._put(peer, message))
+            self._receive_put(peer, message)
         else:
-            self._spawn(self._read(peer, message))
+            self._calls.spawn(self._read(peer, message))
+
+    def _receive_put(
+        self, peer: session_lib.Endpoint, message: scheduling.PutConfiguration
+    ) -> None:
+        try:
+            content.decode(message.content)
+        except content.ContentError as error:
+            verdict = scheduling.Verdict.INVALID
+            self._reply(peer, message.request, verdict, str(error))
+            return
+        self._calls.spawn(self._put(peer, message))
 
     async def _put(
         self, peer: session_lib.Endpoint, message: scheduling.PutConfiguration
@@ -89,8 +100,3 @@
         detail: str = "",
     ) -> None:
         self._send(peer, scheduling.Reply(request, verdict, detail))
-
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -212,7 +212,10 @@
         self, configuration: content.Configuration
     ) -> scheduling.Reply:
         """Returns a reply once the configuration is durable."""
-        data = content.encode(configuration)
+        try:
+            data = content.encode(configuration)
+        except content.ContentError as error:
+            return scheduling.Reply(0, scheduling.Verdict.INVALID, str(error))
 
         def build(
             attempt: requests_lib.SendAttempt,
--- a/src/skylarkcleat/protocol/tagged.py
+++ b/src/skylarkcleat/protocol/tagged.py
@@ -60,7 +60,7 @@
             envelope = self._envelope.decode(frame)
             self._check_version(envelope.version)
             return self._bodies[envelope.tag].decode(envelope.body)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (msgspec.MsgspecError, KeyError, RecursionError) as error:
             raise MalformedMessageError(
                 f"{self._family} message can't be decoded: {error}"
             ) from error
