Hear a process whose clock was set back before it started again

An incarnation is the time of day at the start. After a clock was set back, a process that started again has a smaller one: peers refused its sessions until the former one was lost (5 s), and an owner never counted the front as a follower again, so that no job of its callers was placed, and jobs without a caller were ended at once for 30 s, as if the front were missing.

Change: replies to heartbeats are ordered by when the owner sent these, on its own clock; a session that has been silent for 1 s (three heartbeats) gives way to any other incarnation of its process.

--- a/src/skylarkcleat/scheduling/follower_leases.py
+++ b/src/skylarkcleat/scheduling/follower_leases.py
@@ -42,7 +42,9 @@
         """Records a front's reply to a heartbeat sent at `sent_at`."""
         reply = _Reply(front.incarnation, sent_at)
         known = self._replies.get(front.name)
-        if known is None or known <= reply:
+        # An incarnation that starts after its clock was set back has a
+        # smaller number; `sent_at` is on the owner's own clock.
+        if known is None or known.sent_at <= sent_at:
             self._replies[front.name] = reply
 
     def is_following(self, front: session_lib.Endpoint, now: float) -> bool:
--- a/src/skylarkcleat/wire/acceptor.py
+++ b/src/skylarkcleat/wire/acceptor.py
@@ -9,6 +9,7 @@
 import zmq.asyncio
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.wire import frame as frame_lib
 from skylarkcleat.wire import inbox as inbox_lib
 from skylarkcleat.wire import link as link_lib
@@ -17,6 +18,11 @@
 
 _MAX_SESSIONS = 100_000
 
+SUCCESSION_S = 1.0
+"""After this time without a frame a session may be replaced by an incarnation
+with a smaller number, as that of a process whose clock was set back before it
+started again. A process that runs sends heartbeats more often."""
+
 
 class _Accepted:
     """A session and the ROUTER identity of the peer's latest connection."""
@@ -117,8 +123,14 @@
         while True:
             parts = await self._socket.recv_multipart()
             frame = self._inbox.decode(parts[-1])
-            if frame is not None:
+            if frame is None:
+                continue
+            try:
                 self._handle_frame(parts[0], frame)
+            except Exception as error:
+                supervision.log_unexpected(
+                    "handle a frame", error, frame.sender
+                )
 
     def _handle_frame(self, route: bytes, frame: frame_lib.Frame) -> None:
         if frame.receiver not in (0, self._local.incarnation):
@@ -138,7 +150,11 @@
             return None
         previous = self._accepted.get(frame.sender)
         if previous is not None:
-            if previous.session.remote.incarnation > frame.incarnation:
+            is_older = previous.session.remote.incarnation > frame.incarnation
+            silent_s = (
+                clock_lib.read_monotonic() - previous.session.last_seen_at
+            )
+            if is_older and silent_s < SUCCESSION_S:
                 return None
             self._end(previous, "the peer opened a new session")
         if len(self._accepted) >= _MAX_SESSIONS:
