Keep a runner draining after its side process has restarted

A side process that starts again knows nothing of its runner. A heartbeat from before the runner began to drain, delayed on its way, made it ready again, and tasks were started on a server that was leaving.

Change: the owner keeps a runner draining until its life (id and start) ends, over registrations and renewals.

--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -113,7 +113,7 @@
 
     @runner.setter
     def runner(self, runner: scheduling.Runner | None) -> None:
-        self._runner = runner
+        self._runner = _keep_draining(self._runner, runner)
         self._update_room()
 
     @property
@@ -152,6 +152,7 @@
         """Takes over the runs of an earlier lease, until they are reported."""
         for placed in previous.runs.values():
             self.add(placed)
+        self.runner = _keep_draining(previous.runner, self._runner)
         self.unresponsive_since = previous.unresponsive_since
         self.has_restarted = _identify(self.runner) != _identify(
             previous.runner
@@ -298,6 +299,20 @@
         self._changes.record(self.side)
 
 
+def _keep_draining(
+    known: scheduling.Runner | None, runner: scheduling.Runner | None
+) -> scheduling.Runner | None:
+    """Returns what is said of a runner, which drains until its life ends.
+
+    A side process that has restarted may hear an old heartbeat first.
+    """
+    if known is None or runner is None or not known.draining:
+        return runner
+    if _identify(known) != _identify(runner):
+        return runner
+    return runner._replace(draining=True)
+
+
 def _identify(runner: scheduling.Runner | None) -> tuple[str, int]:
     """Returns what tells one life of a runner from another."""
     return (runner.id, runner.born_ms) if runner else ("", 0)
