Receive all frames of a wake-up at once, without a future for each

Cause: an owner of 160 side processes and 40 fronts receives some thousands of frames a second, and zmq.asyncio made a future, several callbacks and polls of the socket for each. Profiles of idle fronts and of a side process (real processes on loopback) showed these before all work of ours.

The log's links use it too.

--- a/src/skylarkcleat/consensus/links.py
+++ b/src/skylarkcleat/consensus/links.py
@@ -13,11 +13,11 @@
 
 import msgspec
 import zmq
-import zmq.asyncio
 
 from skylarkcleat.consensus import codec
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.wire import dealer
+from skylarkcleat.wire import receiver as receiver_lib
 
 MESSAGE_BYTES = 4 * 1024 * 1024
 """The largest message that a replica sends or receives."""
@@ -100,8 +100,7 @@
 
     Attributes:
         replaced_sockets: The number of unresponsive sockets replaced.
-        tasks: The tasks that receive messages and send pings, while the
-            links are open.
+        tasks: The task that sends pings, while the links are open.
         sent_messages: The number of envelopes sent.
         sent_bytes: The encoded size of these envelopes.
     """
@@ -125,7 +124,7 @@
 
     async def __aenter__(self) -> Links:
         self._context = zmq.Context()
-        self._router = zmq.asyncio.Socket(self._context, zmq.ROUTER)
+        self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES)
         self._router.setsockopt(zmq.RCVHWM, _QUEUE_MESSAGES)
         try:
@@ -136,10 +135,11 @@
             raise
         for name, address in self._peers.items():
             self.add_peer(name, address)
-        self.tasks = [
-            asyncio.create_task(self._listen()),
-            asyncio.create_task(self._send_pings()),
-        ]
+        self._receiver = receiver_lib.Receiver(
+            self._router, self._handle_message
+        )
+        self._receiver.__enter__()
+        self.tasks = [asyncio.create_task(self._send_pings())]
         return self
 
     async def __aexit__(self, *exception: object) -> None:
@@ -148,6 +148,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for link in self._links.values():
             link.close()
+        self._receiver.__exit__()
         self._router.close(linger=0)
         self._context.term()
 
@@ -170,13 +171,11 @@
             self.sent_messages += 1
             self.sent_bytes += len(data)
 
-    async def _listen(self) -> None:
-        while True:
-            frames = await self._router.recv_multipart()
-            if len(frames) == 2:
-                self._handle_envelope(frames[1])
-            elif len(frames) == 3 and frames[1] == _PING_TAG:
-                self._handle_ping(frames[2])
+    def _handle_message(self, frames: list[bytes]) -> None:
+        if len(frames) == 2:
+            self._handle_envelope(frames[1])
+        elif len(frames) == 3 and frames[1] == _PING_TAG:
+            self._handle_ping(frames[2])
 
     def _handle_envelope(self, data: bytes) -> None:
         try:
--- a/src/skylarkcleat/wire/acceptor.py
+++ b/src/skylarkcleat/wire/acceptor.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import typing as t
 
 import zmq
-import zmq.asyncio
 
 from skylarkcleat import clock as clock_lib
-from skylarkcleat import supervision
 from skylarkcleat.wire import frame as frame_lib
 from skylarkcleat.wire import inbox as inbox_lib
 from skylarkcleat.wire import link as link_lib
+from skylarkcleat.wire import receiver as receiver_lib
 from skylarkcleat.wire import session as session_lib
 from skylarkcleat.wire import stamper as stamper_lib
 
@@ -41,7 +39,7 @@
 
     def __init__(
         self,
-        context: zmq.asyncio.Context,
+        context: zmq.Context[zmq.Socket[bytes]],
         local: session_lib.Endpoint,
         bind: str,
         inbox: inbox_lib.Inbox,
@@ -63,7 +61,7 @@
         self._stamper = stamper
         self._socket = context.socket(zmq.ROUTER)
         self._accepted: dict[str, _Accepted] = {}
-        self._task: asyncio.Task | None = None
+        self._receiver = receiver_lib.Receiver(self._socket, self._receive)
 
     async def __aenter__(self) -> t.Self:
         """Opens the socket.
@@ -74,12 +72,12 @@
         link_lib.limit_queues(self._socket)
         _bind(self._socket, self._bind)
         self.address = self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
-        self._task = asyncio.create_task(self._listen())
+        self._receiver.__enter__()
         return self
 
     async def __aexit__(self, *_: object) -> None:
         """Closes the socket."""
-        self._task.cancel()
+        self._receiver.__exit__()
         self._socket.close(linger=0)
 
     def find_session(self, name: str) -> session_lib.Session | None:
@@ -119,18 +117,10 @@
             frames = session.maintain(now, self._stamper.read())
             self._write(accepted.route, frames)
 
-    async def _listen(self) -> None:
-        while True:
-            parts = await self._socket.recv_multipart()
-            frame = self._inbox.decode(parts[-1])
-            if frame is None:
-                continue
-            try:
-                self._handle_frame(parts[0], frame)
-            except Exception as error:
-                supervision.log_unexpected(
-                    "handle a frame", error, frame.sender
-                )
+    def _receive(self, parts: list[bytes]) -> None:
+        frame = self._inbox.decode(parts[-1])
+        if frame is not None:
+            self._handle_frame(parts[0], frame)
 
     def _handle_frame(self, route: bytes, frame: frame_lib.Frame) -> None:
         if frame.receiver not in (0, self._local.incarnation):
@@ -187,10 +177,11 @@
     def _write(self, route: bytes, frames: t.Iterable[frame_lib.Frame]) -> None:
         for frame in frames:
             data = frame_lib.encode_frame(frame)
-            link_lib.write_parts(self._socket, [route, data])
+            receiver_lib.send_or_drop(self._socket, [route, data])
+        self._receiver.check()
 
 
-def _bind(socket: zmq.asyncio.Socket, address: str) -> None:
+def _bind(socket: zmq.Socket[bytes], address: str) -> None:
     try:
         socket.bind(address)
     except zmq.ZMQError as error:
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -9,7 +9,6 @@
 import typing as t
 
 import zmq
-import zmq.asyncio
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import supervision
@@ -60,7 +59,7 @@
         self._links: dict[str, link_lib.Link] = {}
         self._dirty: set[tuple[str, bool]] = set()
         self._flush_scheduled = False
-        self._context = zmq.asyncio.Context()
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._acceptor: acceptor_lib.Acceptor | None = None
         if bind:
             self._acceptor = acceptor_lib.Acceptor(
--- a/src/skylarkcleat/wire/link.py
+++ b/src/skylarkcleat/wire/link.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 import typing as t
 
 import zmq
-import zmq.asyncio
 
-from skylarkcleat import supervision
 from skylarkcleat.wire import dealer
 from skylarkcleat.wire import frame as frame_lib
+from skylarkcleat.wire import receiver as receiver_lib
 from skylarkcleat.wire import session as session_lib
 
 OnFrame = collections.abc.Callable[["Link", bytes], None]
@@ -26,7 +24,7 @@
 
     def __init__(
         self,
-        context: zmq.asyncio.Context,
+        context: zmq.Context[zmq.Socket[bytes]],
         address: str,
         session: session_lib.Session,
         on_frame: OnFrame,
@@ -44,13 +42,14 @@
         self._context = context
         self._on_frame = on_frame
         self._replaced_at = float("-inf")
-        self._socket = self._connect()
-        self._task = asyncio.create_task(self._receive(self._socket))
+        self._open()
 
     def write(self, frames: t.Iterable[frame_lib.Frame]) -> None:
         """Writes frames; those that the socket drops are resent later."""
         for frame in frames:
-            write_parts(self._socket, [frame_lib.encode_frame(frame)])
+            data = frame_lib.encode_frame(frame)
+            receiver_lib.send_or_drop(self._socket, [data])
+        self._receiver.check()
 
     def reconnect_if_unresponsive(self, now: float, stamp: int) -> None:
         """Opens a new connection if the peer does not answer on this one."""
@@ -58,47 +57,27 @@
             return
         self._replaced_at = now
         self.close()
-        self._socket = self._connect()
-        self._task = asyncio.create_task(self._receive(self._socket))
+        self._open()
         self.write(self.session.resend(now, stamp))
 
     def close(self) -> None:
         """Closes the connection and drops frames not yet written."""
-        self._task.cancel()
+        self._receiver.__exit__()
         self._socket.close(linger=0)
 
-    def _connect(self) -> zmq.asyncio.Socket:
-        socket = dealer.open_dealer(self._context)
-        limit_queues(socket)
-        socket.connect(self.address)
-        return socket
+    def _open(self) -> None:
+        self._socket = dealer.open_dealer(self._context)
+        limit_queues(self._socket)
+        self._socket.connect(self.address)
+        self._receiver = receiver_lib.Receiver(self._socket, self._receive)
+        self._receiver.__enter__()
 
-    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
-        while not socket.closed:
-            data = await socket.recv()
-            try:
-                self._on_frame(self, data)
-            except Exception as error:
-                supervision.log_unexpected(
-                    "handle a frame", error, self.session.remote.name
-                )
+    def _receive(self, parts: list[bytes]) -> None:
+        self._on_frame(self, parts[-1])
 
 
-def limit_queues(socket: zmq.asyncio.Socket) -> None:
+def limit_queues(socket: zmq.Socket[bytes]) -> None:
     """Limits a socket's send queue and the size of received messages."""
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, session_lib.MAX_BATCHES_IN_FLIGHT * 4)
     socket.setsockopt(zmq.MAXMSGSIZE, frame_lib.MAX_FRAME_BYTES)
-
-
-def write_parts(socket: zmq.asyncio.Socket, parts: list[bytes]) -> None:
-    """Writes a multipart message, or drops it if the send queue is full."""
-    sent = socket.send_multipart(parts, flags=zmq.DONTWAIT)
-    sent.add_done_callback(_ignore_full_queue)
-
-
-def _ignore_full_queue(sent: asyncio.Future) -> None:
-    if not sent.cancelled() and sent.exception() is not None:
-        error = sent.exception()
-        if not isinstance(error, zmq.ZMQError):
-            raise error
