--- a/src/skylarkcleat/platform/__main__.py
+++ b/src/skylarkcleat/platform/__main__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import os
 import signal
@@ -14,6 +15,10 @@
 from skylarkcleat import problem as problem_lib
 
 USAGE_STATUS = 2
+GC_ALLOCATIONS = 10_000
+"""How many objects may come to be before the garbage collector looks at the
+young ones. Messages and tasks leave hardly any cycles."""
+
 _MODULES = {
     "front": "skylarkcleat.platform.front_daemon",
     "side": "skylarkcleat.platform.side_daemon",
@@ -27,8 +32,13 @@
         return USAGE_STATUS
     # Until there is a handler: the settings are read after the imports anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Nothing of what is imported is garbage: a collection would be in vain.
+    gc.disable()
     daemon = importlib.import_module("skylarkcleat.platform.daemon")
     role = importlib.import_module(_MODULES[arguments[0]])
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
+    gc.enable()
     try:
         daemon.run(role.serve)
     except problem_lib.SettingsError as error:
