Let acknowledgements ride on frames that go anyway

Cause: each renewal of a lease (160 side processes, one every 0.15 s) and each heartbeat of the owner (40 fronts, one every 0.08 s) took a third frame, which only acknowledged the reply 0.05 s later: over 1,000 frames a second at the owner of the large deployment, each with a wake-up at both ends.

Change: an acknowledgement waits up to 0.18 s for a frame to ride on, but not beyond 16 batches; unacknowledged batches are sent again after 0.3 s (0.25).

--- a/src/skylarkcleat/wire/session.py
+++ b/src/skylarkcleat/wire/session.py
@@ -16,8 +16,15 @@
 # and as lost.
 UNRESPONSIVE_HEARTBEATS = 5
 LOST_HEARTBEATS = 16
-RESEND_TIMEOUT_S = 0.25
-ACKNOWLEDGE_DELAY_S = 0.05
+RESEND_TIMEOUT_S = 0.3
+ACKNOWLEDGE_DELAY_S = 0.18
+"""How long an acknowledgement waits for a frame to ride on. Renewals and
+heartbeats go more often; less than `RESEND_TIMEOUT_S` by a tick of the hub."""
+
+MAX_UNACKNOWLEDGED = 16
+"""After this many batches an acknowledgement doesn't wait for a frame: the
+sender stops at `MAX_BATCHES_IN_FLIGHT`."""
+
 MAX_QUEUED_MESSAGES = 200_000
 MAX_BATCH_BYTES = 1 << 20
 MAX_MESSAGE_BYTES = 2 << 20
@@ -200,7 +207,10 @@
 
     def _heartbeat_due(self, now: float) -> bool:
         idle_s = now - self._sent_at
-        if self._owes_acknowledgement() and idle_s > ACKNOWLEDGE_DELAY_S:
+        unacknowledged = self._received - self._acknowledged_to_peer
+        if unacknowledged and idle_s > ACKNOWLEDGE_DELAY_S:
+            return True
+        if unacknowledged >= MAX_UNACKNOWLEDGED:
             return True
         return idle_s > self.heartbeat_s
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -118,3 +118,31 @@
     assert not left.is_unresponsive(20.0 + session_lib.UNRESPONSIVE_TIMEOUT_S)
     assert left.is_unresponsive(20.1 + session_lib.UNRESPONSIVE_TIMEOUT_S)
     assert left.is_lost(20.1 + session_lib.LOST_TIMEOUT_S)
+
+
+def test_acknowledgements_ride_on_frames_that_go_anyway():
+    """A renewal every 0.15 s and its reply take one frame each."""
+    left, right = _create_pair()
+    frames = 0
+    for tick in range(1, 61):
+        now = tick * 0.05
+        if tick % 3 == 0:
+            left.enqueue("Number", b"1")
+            sent = left.collect(now, 0)
+            _read(right, sent, now)
+            right.enqueue("Number", b"2")
+            answered = right.collect(now, 0)
+            _read(left, answered, now)
+            frames += len(sent) + len(answered)
+        frames += len(left.maintain(now, 0)) + len(right.maintain(now, 0))
+    opening = 2
+    assert frames == opening + 2 * 20
+
+
+def test_a_stream_without_answers_is_acknowledged_before_it_stops():
+    left, right = _create_pair()
+    for _ in range(session_lib.MAX_UNACKNOWLEDGED):
+        left.enqueue("Number", b"1")
+        _read(right, left.collect(0.0, 0), 0.0)
+    _read(left, right.maintain(0.01, 0), 0.01)
+    assert left.backlog == 0
