Refuse no job for lack of room while the fleet is starting

Cause: whether a job can start in time is forecast from the cores of the runners that are open now.

Ruled out: to count side processes that have registered only (four had), and to keep all waiting jobs (those that are too late at any rate are refused as before).

Change: while half of the side processes have joined within the last second, the forecast assumes no delay by the work ahead, as it does without runners.

--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -67,6 +67,9 @@
         settling = self._state.workers.settling
         workers = self._state.workers.list_open(now)
         cores = sum(worker.runner.cpu for worker in workers) / 1000
+        if self._state.workers.is_growing(now):
+            # What the first runners have room for says little of what comes.
+            cores = 0.0
         begin_at = max(now, settling.settled_at)
         unservable, wait_s = self._state.jobs.list_unservable(begin_at, cores)
         detail = active_job.NO_ROOM if workers else active_job.NO_RUNNER
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -31,6 +31,11 @@
 every side process that may run tasks."""
 
 
+GROWTH_WINDOW_S = 1.0
+"""The fleet is growing while half of the side processes have joined within this
+time, as after a power loss of all VMs: they start within about a second."""
+
+
 class _DueFactor(t.NamedTuple):
     """When a worker's duration factor has to be updated."""
 
@@ -208,6 +213,12 @@
         """Returns the workers that may be sent tasks."""
         return [each for each in self.by_side.values() if each.is_open(now)]
 
+    def is_growing(self, now: float) -> bool:
+        """Returns whether many more side processes may join at any moment."""
+        since = now - GROWTH_WINDOW_S
+        recent = sum(self._announced_at[side] > since for side in self.by_side)
+        return 2 * recent >= len(self.by_side)
+
     def log_closed(self, now: float) -> None:
         """Logs at intervals how many side processes get no tasks, and why."""
         if not self._log.is_due(now):
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -117,6 +117,8 @@
         bursts: Bursts of arrivals.
         faults: Faults of runners.
         deadly: Tasks that crash their runners, if any do.
+        joining: From when to when the runners join, one after another, in
+            seconds; jobs arrive from the beginning.
         seed: The seed of the random numbers.
     """
 
@@ -128,6 +130,7 @@
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
     deadly: DeadlyTasks | None = None
+    joining: tuple[float, float] = (0.0, 0.0)
     seed: int = 1
 
 
@@ -167,8 +170,7 @@
 
     def play(self) -> Simulation:
         for runner in range(self.load.runners):
-            self._register(runner)
-            self._at(RENEW_S, self._renew(runner))
+            self._at(self._find_joining_at(runner), self._join(runner))
         for kind in JOB_CLASSES:
             self._at(self._draw_gap(kind, 0.0), self._arrive(kind))
         self._at(0.0, self._tick)
@@ -217,6 +219,17 @@
     def _at(self, when: float, act: t.Callable[[float], None]) -> None:
         heapq.heappush(self._events, (when, next(self._count), act))
 
+    def _find_joining_at(self, runner: int) -> float:
+        begin, end = self.load.joining
+        return begin + (end - begin) * runner / self.load.runners
+
+    def _join(self, runner: int) -> t.Callable[[float], None]:
+        def act(now: float) -> None:
+            self._register(runner, now)
+            self._at(now + RENEW_S, self._renew(runner))
+
+        return act
+
     def _register(self, runner: int, now: float = 0.0) -> None:
         size = self.load.sizes[runner % len(self.load.sizes)]
         epoch = self._epochs.get(runner, 0) + 100
--- a/tests/test_scheduling_loads.py
+++ b/tests/test_scheduling_loads.py
@@ -76,3 +76,16 @@
     for _, change, runner in events:
         running[runner] += change
         assert running[runner] <= 96000 / 2000
+
+
+@pytest.mark.parametrize(("runners", "rate"), [(11, 1.0), (160, 9.0)])
+def test_jobs_that_wait_for_runners_to_start_are_served_by_them(runners, rate):
+    """After a power loss of all, runners join within 0.7 s of the first."""
+    world = _play(runners=runners, rate=rate, joining=(0.5, 1.2), length_s=2.5)
+    waiting = [each for each in world.outcomes if each.at < 1.2]
+    # What waits longer than this at the first runner is useless by then.
+    in_time = [each for each in waiting if each.objective_s > 0.6]
+    served = [
+        each for each in in_time if each.verdict is scheduling.Verdict.COMPLETED
+    ]
+    assert len(served) / len(in_time) >= 0.9, world_lib.describe(world)
