Split the front process and the worker, and don't call one runner a fleet

More than one side process has to have joined.

What fronts send for callers and operators, and what identifies a runner's life, are modules of their own; behaviour as before.

--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -16,7 +16,9 @@
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import configuration_requests
 from skylarkcleat.front import election_task as election_task_lib
+from skylarkcleat.front import job_requests as job_requests_lib
 from skylarkcleat.front import log_service as log_service_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import peer_discovery as peer_discovery_lib
@@ -31,20 +33,6 @@
 from skylarkcleat.wire import hub as hub_lib
 from skylarkcleat.wire import session as session_lib
 
-SUBMIT_MARGIN_S = 0.05
-UNSENT_WORK_FRACTION = 0.4
-"""A job waits for an owner for this fraction of its estimated work, a quarter
-of its usual objective."""
-
-GIVE_UP_WORK_FACTOR = 4.5
-GIVE_UP_MIN_S = 0.2
-"""A job whose owner is unresponsive is given up after about three times its
-usual objective, estimated from its work: the owner knows it more exactly."""
-
-QUERY_TIMEOUT_S = 1.0
-OPERATOR_TIMEOUT_S = 0.9
-"""Operators switch to another front after a second without an answer."""
-
 DRAIN_NOTICE_S = 2.2
 """The load balancer stops sending callers after two failed health checks, a
 second apart."""
@@ -166,86 +154,29 @@
         if self._is_closed:
             verdict = scheduling.Verdict.NOT_RUN
             return scheduling.Reply(0, verdict, "this front is stopping")
-
-        def build(attempt: requests_lib.SendAttempt) -> scheduling.Submit:
-            return scheduling.Submit(
-                attempt.number,
-                host,
-                path,
-                job,
-                round(attempt.age_s * 1000),
-                caller_timeout_ms,
-                attempt.term,
-                attempt.previous_term,
-                round(attempt.expires_in_s * 1000),
-                round(attempt.earlier_expires_in_s * 1000),
-            )
-
-        timeout_s = max(
-            caller_timeout_ms / 1000 - SUBMIT_MARGIN_S, SUBMIT_MARGIN_S
-        )
-        work_s = sum(step.estimate_ms for step in job.steps) / 1000
-        return await self._job_requests.call(
-            build,
-            timeout_s,
-            min(UNSENT_WORK_FRACTION * work_s, timeout_s),
-            GIVE_UP_WORK_FACTOR * work_s + GIVE_UP_MIN_S,
-            job.id,
+        return await job_requests_lib.submit(
+            self._job_requests, host, path, job, caller_timeout_ms
         )
 
     async def query(
         self, host: str, path: str, job: str, cancel: bool
     ) -> scheduling.Reply:
         """Returns the state of a job or a queue."""
-
-        def build(attempt: requests_lib.SendAttempt) -> scheduling.JobRequest:
-            return scheduling.JobRequest(
-                attempt.number, host, path, job, cancel, attempt.term
-            )
-
-        timeout_s = QUERY_TIMEOUT_S
-        return await self._job_requests.call(
-            build, timeout_s, timeout_s, timeout_s
+        return await job_requests_lib.query(
+            self._job_requests, host, path, job, cancel
         )
 
     async def put_configuration(
         self, configuration: content.Configuration
     ) -> scheduling.Reply:
         """Returns a reply once the configuration is durable."""
-        try:
-            data = content.encode(configuration)
-        except content.ContentError as error:
-            return scheduling.Reply(0, scheduling.Verdict.INVALID, str(error))
-
-        def build(
-            attempt: requests_lib.SendAttempt,
-        ) -> scheduling.PutConfiguration:
-            return scheduling.PutConfiguration(
-                attempt.number, configuration.version, data
-            )
-
-        return await self._call_log_leader(build)
+        return await configuration_requests.put(
+            self._log_requests, configuration
+        )
 
     async def read_configuration(self) -> content.Configuration | None:
         """Returns the newest configuration; None if that is not certain."""
-
-        def build(
-            attempt: requests_lib.SendAttempt,
-        ) -> scheduling.ReadConfiguration:
-            return scheduling.ReadConfiguration(attempt.number)
-
-        reply = await self._call_log_leader(build)
-        if reply.verdict is not scheduling.Verdict.ACCEPTED:
-            return None
-        return content.decode(reply.content)
-
-    async def _call_log_leader(
-        self, build: requests_lib.BuildMessage
-    ) -> scheduling.Reply:
-        timeout_s = OPERATOR_TIMEOUT_S
-        return await self._log_requests.call(
-            build, timeout_s, timeout_s, timeout_s
-        )
+        return await configuration_requests.read(self._log_requests)
 
     async def drain(self) -> None:
         """Stops being ready and waits for the open requests."""
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -7,6 +7,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import placed_run
+from skylarkcleat.scheduling import runner_life
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker_changes as worker_changes_lib
 from skylarkcleat.scheduling import worker_phase
@@ -113,7 +114,7 @@
 
     @runner.setter
     def runner(self, runner: scheduling.Runner | None) -> None:
-        self._runner = _keep_draining(self._runner, runner)
+        self._runner = runner_life.keep_draining(self._runner, runner)
         self._update_room()
 
     @property
@@ -152,11 +153,11 @@
         """Takes over the runs of an earlier lease, until they are reported."""
         for placed in previous.runs.values():
             self.add(placed)
-        self.runner = _keep_draining(previous.runner, self._runner)
+        self.runner = runner_life.keep_draining(previous.runner, self._runner)
         self.unresponsive_since = previous.unresponsive_since
-        self.has_restarted = _identify(self.runner) != _identify(
-            previous.runner
-        )
+        self.has_restarted = runner_life.identify(
+            self.runner
+        ) != runner_life.identify(previous.runner)
 
     def must_register_again(self, now: float) -> bool:
         """Returns whether only another registration can open it."""
@@ -297,22 +298,3 @@
         cpu = self._runner.cpu if self._runner else 0
         self.free_cpu = cpu - self._used_cpu
         self._changes.record(self.side)
-
-
-def _keep_draining(
-    known: scheduling.Runner | None, runner: scheduling.Runner | None
-) -> scheduling.Runner | None:
-    """Returns what is said of a runner, which drains until its life ends.
-
-    A side process that has restarted may hear an old heartbeat first.
-    """
-    if known is None or runner is None or not known.draining:
-        return runner
-    if _identify(known) != _identify(runner):
-        return runner
-    return runner._replace(draining=True)
-
-
-def _identify(runner: scheduling.Runner | None) -> tuple[str, int]:
-    """Returns what tells one life of a runner from another."""
-    return (runner.id, runner.born_ms) if runner else ("", 0)
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -32,8 +32,9 @@
 
 
 GROWTH_WINDOW_S = 1.0
-"""The fleet is growing while half of the side processes have joined within this
-time, as after a power loss of all VMs: they start within about a second."""
+"""The fleet is growing while half of the side processes, and more than one,
+have joined within this time, as after a power loss of all VMs: they start
+within about a second."""
 
 
 class _DueFactor(t.NamedTuple):
@@ -217,7 +218,7 @@
         """Returns whether many more side processes may join at any moment."""
         since = now - GROWTH_WINDOW_S
         recent = sum(self._announced_at[side] > since for side in self.by_side)
-        return 2 * recent >= len(self.by_side)
+        return recent > 1 and 2 * recent >= len(self.by_side)
 
     def log_closed(self, now: float) -> None:
         """Logs at intervals how many side processes get no tasks, and why."""
