--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -9,6 +9,7 @@
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.configuration import content
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
@@ -97,7 +98,7 @@
             self._refuse(peer, message)
         elif isinstance(message, scheduling.Submit | scheduling.JobRequest):
             self._handle_request(peer, message)
-        elif isinstance(message, scheduling.Register):
+        elif isinstance(message, leasing.Register):
             now = clock_lib.read_monotonic()
             self._owner.register(peer, message, now)
         else:
@@ -178,9 +179,9 @@
         owner = self._owner
         if isinstance(message, scheduling.Abandon):
             owner.abandon(peer, message.request)
-        elif isinstance(message, scheduling.Renew):
+        elif isinstance(message, leasing.Renew):
             owner.renew(peer, message, now)
-        elif isinstance(message, scheduling.SideReport):
+        elif isinstance(message, leasing.SideReport):
             owner.handle_side_report(peer.name, message, now)
 
     def _reply(
--- a/src/skylarkcleat/platform/daemon.py
+++ b/src/skylarkcleat/platform/daemon.py
@@ -14,6 +14,7 @@
 from skylarkcleat import logs
 from skylarkcleat.platform import metrics_server
 from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
@@ -25,7 +26,7 @@
     *t.get_args(locating.LocatingMessage),
     *t.get_args(owning.OwningMessage),
     *t.get_args(scheduling.FrontMessage),
-    *t.get_args(scheduling.SideMessage),
+    *t.get_args(leasing.SideMessage),
 )
 
 Serve = t.Callable[
--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -9,13 +9,13 @@
 import msgspec
 
 from skylarkcleat.platform import json_body
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import probe_result
 
 MAX_LABELS = 64
 _DRAINING = "draining"
 _ID = re.compile(r"[!-~]{1,128}")
-_ENDINGS = {ending.value: ending for ending in scheduling.Ending}
+_ENDINGS = {ending.value: ending for ending in leasing.Ending}
 
 
 class RunnerError(ValueError):
@@ -32,7 +32,7 @@
         clock_ms: Its monotonic clock, in milliseconds.
     """
 
-    runner: scheduling.Runner
+    runner: leasing.Runner
     address: str
     sequence: int
     clock_ms: int
@@ -58,7 +58,7 @@
     born_ms: int
     clock_ms: int
     running: tuple[tuple[str, int], ...]
-    ends: tuple[scheduling.End, ...]
+    ends: tuple[leasing.End, ...]
 
 
 class Fenced(t.NamedTuple):
@@ -132,7 +132,7 @@
         decoded = json_body.decode(_HEARTBEAT, body)
     except json_body.BodyError as error:
         raise RunnerError(f"no heartbeat of a runner: {error}") from error
-    described = scheduling.Runner(
+    described = leasing.Runner(
         runner,
         decoded.born,
         decoded.service,
@@ -194,7 +194,7 @@
         raise RunnerError("the runner's id is not a word of printable ASCII")
 
 
-def _create_end(row: _Ended) -> scheduling.End:
+def _create_end(row: _Ended) -> leasing.End:
     """Returns an end; one of an unknown kind is over and was not done."""
-    ending = _ENDINGS.get(row.how, scheduling.Ending.LAPSED)
-    return scheduling.End(row.number, row.task, row.run, ending)
+    ending = _ENDINGS.get(row.how, leasing.Ending.LAPSED)
+    return leasing.End(row.number, row.task, row.run, ending)
--- a/src/skylarkcleat/platform/runner_client.py
+++ b/src/skylarkcleat/platform/runner_client.py
@@ -11,7 +11,7 @@
 
 from skylarkcleat.platform import names
 from skylarkcleat.platform import runner_body
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 
 PROBE_TIMEOUT_S = 0.2
 """The timeout of a probe, in addition to the time it waits for an end."""
@@ -49,7 +49,7 @@
         await self._session.close()
 
     async def start(
-        self, order: scheduling.Start, deadline_ms: int, runner: str
+        self, order: leasing.Start, deadline_ms: int, runner: str
     ) -> runner_body.Answer:
         """Starts a task.
 
@@ -71,7 +71,7 @@
         return await self._call(names.START_PATH, body, runner)
 
     async def stop(
-        self, order: scheduling.Stop, runner: str
+        self, order: leasing.Stop, runner: str
     ) -> runner_body.Answer:
         """Stops a run; its start is refused if it arrives later."""
         body = {
--- /dev/null
+++ b/src/skylarkcleat/protocol/leasing.py
@@ -0,0 +1,278 @@
+"""Messages between an owner of jobs and the side processes.
+
+A side process runs beside one runner and is the only process that connects to
+it. It holds a lease from the owner, which orders it to start and stop runs.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+from skylarkcleat.wire import codec
+
+
+class Runner(t.NamedTuple):
+    """A runner's identity and capacity, as it reports them.
+
+    Attributes:
+        id: Its name.
+        born_ms: When its current incarnation started, in Unix milliseconds.
+        upstream: The upstream whose tasks it runs.
+        cpu: Its capacity, in thousandths of a core.
+        memory_mb: Its memory, in MB.
+        gpu: Its accelerators.
+        labels: Labels for its type and its rack.
+        draining: Whether it accepts no new tasks.
+    """
+
+    id: str
+    born_ms: int
+    upstream: str
+    cpu: int
+    memory_mb: int
+    gpu: int
+    labels: tuple[str, ...]
+    draining: bool
+
+
+class Register(t.NamedTuple):
+    """Asks the owner for a lease on behalf of a side process.
+
+    Attributes:
+        side: The side process's name.
+        zone: Its availability zone.
+        epoch: The fencing token of the lease; larger than any before on the
+            same runner.
+        runner: Its runner; None until the runner has reported.
+        sent_at: The side process's clock, in seconds.
+    """
+
+    side: str
+    zone: str
+    epoch: int
+    runner: Runner | None
+    sent_at: float
+
+
+class Grant(t.NamedTuple):
+    """Grants a side process a lease.
+
+    Attributes:
+        epoch: The fencing token of all orders under the lease.
+        sent_at: `sent_at` of the request, from which the lease is counted.
+    """
+
+    epoch: int
+    sent_at: float
+
+
+class Run(t.NamedTuple):
+    """A task that runs on a runner.
+
+    Attributes:
+        task: The task's name.
+        run: The number of the run.
+        cpu: Thousandths of a core that it takes; -1 if unknown.
+        memory_mb: Memory that it takes, in MB.
+        gpu: Accelerators that it takes.
+    """
+
+    task: str
+    run: int
+    cpu: int
+    memory_mb: int
+    gpu: int
+
+
+class Ending(enum.StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class End(t.NamedTuple):
+    """The end of a run.
+
+    Attributes:
+        number: Rises with each end during one incarnation of a runner.
+        task: The task's name.
+        run: The number of the run.
+        ending: How it ended.
+    """
+
+    number: int
+    task: str
+    run: int
+    ending: Ending
+
+
+class Report(t.NamedTuple):
+    """Everything that a runner runs, once it refuses all earlier epochs.
+
+    Attributes:
+        epoch: The lease that it is sent under.
+        running: The runs in progress.
+        ends: The ends that the owner has not acknowledged.
+    """
+
+    epoch: int
+    running: tuple[Run, ...]
+    ends: tuple[End, ...]
+
+
+class Renew(t.NamedTuple):
+    """Asks the owner to renew a lease.
+
+    Attributes:
+        epoch: The lease.
+        sent_at: The side process's clock, in seconds.
+        runner: Its runner, as it last reported.
+    """
+
+    epoch: int
+    sent_at: float
+    runner: Runner | None
+
+
+class Renewed(t.NamedTuple):
+    """Renews a lease, counted from `sent_at` of the request."""
+
+    epoch: int
+    sent_at: float
+
+
+class Unregistered(t.NamedTuple):
+    """Reports an unknown or outdated lease.
+
+    The side process has to register again, and then to report its runs.
+    """
+
+    epoch: int
+
+
+class Start(t.NamedTuple):
+    """Orders the start of a task.
+
+    Attributes:
+        epoch: The lease.
+        task: The task's name.
+        run: The number of the run.
+        spec: What the task runs.
+        cpu: Thousandths of a core that it takes.
+        memory_mb: Memory that it takes, in MB.
+        gpu: Accelerators that it takes.
+    """
+
+    epoch: int
+    task: str
+    run: int
+    spec: str
+    cpu: int
+    memory_mb: int
+    gpu: int
+
+
+@codec.sent_as("Keep")
+class Adopt(t.NamedTuple):
+    """Adopts a run that was ordered under a previous lease.
+
+    A run that no owner adopts is stopped when the previous lease expires,
+    since the previous owner may then start the task elsewhere.
+    """
+
+    epoch: int
+    task: str
+    run: int
+
+
+class Stop(t.NamedTuple):
+    """Orders a side process to stop a run."""
+
+    epoch: int
+    task: str
+    run: int
+
+
+class NotStarted(t.NamedTuple):
+    """Reports that an ordered run has not started and never will.
+
+    Attributes:
+        epoch: The lease.
+        task: The task's name.
+        run: The number of the run.
+        reason: The reason, for a log line.
+    """
+
+    epoch: int
+    task: str
+    run: int
+    reason: str
+
+
+class Ended(t.NamedTuple):
+    """Reports runs that ended."""
+
+    epoch: int
+    ends: tuple[End, ...]
+
+
+@codec.sent_as("Noted")
+class EndsAcknowledged(t.NamedTuple):
+    """Acknowledges all ends up to a number."""
+
+    epoch: int
+    number: int
+
+
+@codec.sent_as("RunnerSilent")
+class RunnerUnresponsive(t.NamedTuple):
+    """Reports that a runner has become unresponsive, or answers again.
+
+    Attributes:
+        epoch: The lease.
+        is_unresponsive: Whether it does not answer; its runs may continue.
+    """
+
+    epoch: int
+    is_unresponsive: bool
+
+
+UNANSWERED = "unanswered"
+"""The reason of `NotStarted` for a run whose start got no answer and whose
+runner was lost."""
+
+
+class RunnerLost(t.NamedTuple):
+    """Reports an unresponsive runner all of whose runs have expired.
+
+    Attributes:
+        epoch: The lease.
+        runs: The runs that are known to have started there. A start that got
+            no answer is not among them, and is answered by itself.
+    """
+
+    epoch: int
+    runs: tuple[Run, ...] = ()
+
+
+SideReport = Report | Ended | NotStarted | RunnerUnresponsive | RunnerLost
+"""What a side process tells its owner of its runner and of the runs there."""
+
+SideMessage = (
+    Register
+    | Grant
+    | Renew
+    | Renewed
+    | Unregistered
+    | Start
+    | Adopt
+    | Stop
+    | EndsAcknowledged
+    | SideReport
+)
--- a/src/skylarkcleat/scheduling/adoption.py
+++ b/src/skylarkcleat/scheduling/adoption.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import owner_state
@@ -30,7 +31,7 @@
                 self._adopt_or_stop(job, task, worker, placed.run, now)
 
     def record_running(
-        self, worker: worker_lib.Worker, run: scheduling.Run, now: float
+        self, worker: worker_lib.Worker, run: leasing.Run, now: float
     ) -> None:
         """Handles a run that a side process has reported."""
         if run.task in worker.runs:
@@ -56,17 +57,17 @@
         """Adopts a run that this owner did not order, or stops a duplicate."""
         if task.state is not active_job.TaskState.WAITING or task.may_run_twice:
             task.may_run_twice = True
-            stop = scheduling.Stop(worker.epoch, task.name, run)
+            stop = leasing.Stop(worker.epoch, task.name, run)
             self._state.outbox.send(worker.peer, stop)
             return
         task.place(run, worker.side)
         job.started = True
         job.record(task.name, run, worker.side, "adopted", now)
-        adopt = scheduling.Adopt(worker.epoch, task.name, run)
+        adopt = leasing.Adopt(worker.epoch, task.name, run)
         self._state.outbox.send(worker.peer, adopt)
 
     def _keep_or_stop(
-        self, worker: worker_lib.Worker, run: scheduling.Run
+        self, worker: worker_lib.Worker, run: leasing.Run
     ) -> None:
         """Orders a side process to keep or stop a run of its earlier lease."""
         task = self._state.jobs.find_task(run.task)
@@ -74,14 +75,12 @@
             (task.state, task.run, task.side)
             == (active_job.TaskState.PLACED, run.run, worker.side)
         )
-        kind = scheduling.Adopt if is_placed else scheduling.Stop
+        kind = leasing.Adopt if is_placed else leasing.Stop
         order = kind(worker.epoch, run.task, run.run)
         self._state.outbox.send(worker.peer, order)
 
 
-def _find_size(
-    worker: worker_lib.Worker, run: scheduling.Run
-) -> scheduling.Step:
+def _find_size(worker: worker_lib.Worker, run: leasing.Run) -> scheduling.Step:
     """Returns a run's resources; all of the runner's if they are unknown."""
     if run.cpu >= 0 or worker.runner is None:
         return scheduling.Step(1, max(run.cpu, 0), run.memory_mb, run.gpu)
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import job_table as job_table_lib
@@ -110,5 +111,5 @@
             if task.state is not active_job.TaskState.PLACED:
                 continue
             for worker, placed in self._state.workers.list_runs(task.name):
-                stop = scheduling.Stop(worker.epoch, task.name, placed.run)
+                stop = leasing.Stop(worker.epoch, task.name, placed.run)
                 self._state.outbox.send(worker.peer, stop)
--- a/src/skylarkcleat/scheduling/local_run.py
+++ b/src/skylarkcleat/scheduling/local_run.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 
 
 class RunState(enum.Enum):
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, task: str, run: int, order: scheduling.Start | None
+        self, task: str, run: int, order: leasing.Start | None
     ) -> None:
         self.task = task
         self.run = run
@@ -43,14 +43,14 @@
         self.stop_at: float | None = None
         self.must_end_by: float | None = None
 
-    def describe(self) -> scheduling.Run:
+    def describe(self) -> leasing.Run:
         """Returns the run as it is reported to the owner.
 
         A CPU of -1 means that the size is unknown.
         """
         if self.order is None:
-            return scheduling.Run(self.task, self.run, -1, 0, 0)
+            return leasing.Run(self.task, self.run, -1, 0, 0)
         order = self.order
-        return scheduling.Run(
+        return leasing.Run(
             self.task, self.run, order.cpu, order.memory_mb, order.gpu
         )
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from skylarkcleat.configuration import content
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import adoption as adoption_lib
@@ -100,7 +101,7 @@
         Every front resubmits its open jobs, so their waiters are dropped.
         """
         for worker in self._workers.expect_sides(sides, now):
-            self.outbox.send(worker.peer, scheduling.Unregistered(worker.epoch))
+            self.outbox.send(worker.peer, leasing.Unregistered(worker.epoch))
         self._jobs.drop_waiters(lambda _: True)
 
     def record_heartbeat_reply(
@@ -174,7 +175,7 @@
     def register(
         self,
         peer: session_lib.Endpoint,
-        message: scheduling.Register,
+        message: leasing.Register,
         now: float,
     ) -> None:
         """Grants a side process a lease, replacing any earlier one.
@@ -182,29 +183,27 @@
         Runs under the earlier lease keep using capacity until the report.
         """
         worker = self._workers.register(peer, message, now)
-        self.outbox.send(peer, scheduling.Grant(worker.epoch, message.sent_at))
+        self.outbox.send(peer, leasing.Grant(worker.epoch, message.sent_at))
 
     def renew(
         self,
         peer: session_lib.Endpoint,
-        message: scheduling.Renew,
+        message: leasing.Renew,
         now: float,
     ) -> None:
         """Renews a lease, or replies that the side has to register again."""
         worker = self._workers.find(peer.name, message.epoch)
         if worker is None or worker.must_register_again(now):
-            self.outbox.send(peer, scheduling.Unregistered(message.epoch))
+            self.outbox.send(peer, leasing.Unregistered(message.epoch))
             return
         worker.granted_at = now
         if message.runner != worker.runner and message.runner is not None:
             worker.runner = message.runner
             self._jobs.needs_placement = True
-        self.outbox.send(
-            peer, scheduling.Renewed(message.epoch, message.sent_at)
-        )
+        self.outbox.send(peer, leasing.Renewed(message.epoch, message.sent_at))
 
     def handle_side_report(
-        self, side: str, message: scheduling.SideReport, now: float
+        self, side: str, message: leasing.SideReport, now: float
     ) -> None:
         """Handles what a side process reports of its runner and its runs."""
         self._side_reports.receive(side, message, now)
--- a/src/skylarkcleat/scheduling/probe_result.py
+++ b/src/skylarkcleat/scheduling/probe_result.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import local_run
 
 
@@ -29,7 +29,7 @@
     clock_ms: int
     born_ms: int
     running: tuple[tuple[str, int], ...]
-    ends: tuple[scheduling.End, ...]
+    ends: tuple[leasing.End, ...]
 
 
 class RunChanges(t.NamedTuple):
@@ -40,7 +40,7 @@
         missing: Runs that have not started and never will.
     """
 
-    ends: tuple[scheduling.End, ...]
+    ends: tuple[leasing.End, ...]
     missing: tuple[local_run.LocalRun, ...]
 
 
@@ -52,5 +52,5 @@
         unanswered: Those whose start got no answer.
     """
 
-    started: tuple[scheduling.Run, ...]
-    unanswered: tuple[scheduling.Run, ...]
+    started: tuple[leasing.Run, ...]
+    unanswered: tuple[leasing.Run, ...]
--- a/src/skylarkcleat/scheduling/run_endings.py
+++ b/src/skylarkcleat/scheduling/run_endings.py
@@ -5,7 +5,7 @@
 import collections.abc
 import math
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import job_endings as job_endings_lib
 from skylarkcleat.scheduling import owner_state
@@ -36,7 +36,7 @@
     def record(
         self,
         worker: worker_lib.Worker,
-        ends: collections.abc.Sequence[scheduling.End],
+        ends: collections.abc.Sequence[leasing.End],
         now: float,
     ) -> None:
         """Records the ends of runs and acknowledges them."""
@@ -47,7 +47,7 @@
         if ends:
             worker.paused_until = now
             number = max(end.number for end in ends)
-            acknowledged = scheduling.EndsAcknowledged(worker.epoch, number)
+            acknowledged = leasing.EndsAcknowledged(worker.epoch, number)
             self._state.outbox.send(worker.peer, acknowledged)
 
     def record_missing(
@@ -98,7 +98,7 @@
     def _record_end(
         self,
         worker: worker_lib.Worker,
-        end: scheduling.End,
+        end: leasing.End,
         placed: placed_run.PlacedRun | None,
         now: float,
     ) -> None:
@@ -106,7 +106,7 @@
         jobs.recent.record_run(end.task, end.run)
         job = jobs.find(end.task)
         task = job.find_task(end.task) if job else None
-        if end.ending is scheduling.Ending.DONE:
+        if end.ending is leasing.Ending.DONE:
             jobs.recent.record_done(end.task)
             if placed is not None and job is not None:
                 self._record_duration(worker, job, placed, now)
@@ -115,7 +115,7 @@
         job.record(end.task, end.run, worker.side, end.ending.value, now)
         if not _is_current(task, end, worker.side):
             return
-        if end.ending is scheduling.Ending.DONE:
+        if end.ending is leasing.Ending.DONE:
             task.state = active_job.TaskState.DONE
         elif task.state is active_job.TaskState.PLACED:
             task.state = active_job.TaskState.WAITING
@@ -123,7 +123,7 @@
             # The same end was reported and counted before.
             return
         jobs.queue(job)
-        if end.ending is scheduling.Ending.FAILED:
+        if end.ending is leasing.Ending.FAILED:
             task.failures += 1
             task.failed_sides.add(worker.side)
             worker.speed.record_failure(now)
@@ -151,10 +151,10 @@
         estimates.record_duration(queue, took_s, estimate_ms / 1000 * factor)
 
 
-def _is_current(task: active_job.Task, end: scheduling.End, side: str) -> bool:
+def _is_current(task: active_job.Task, end: leasing.End, side: str) -> bool:
     """Returns whether an end concerns a task's present state."""
     if (task.run, task.side) == (end.run, side):
         return True
     # A run of the previous owner that ended during the takeover.
-    is_done = end.ending is scheduling.Ending.DONE
+    is_done = end.ending is leasing.Ending.DONE
     return is_done and task.state is active_job.TaskState.WAITING
--- a/src/skylarkcleat/scheduling/run_table.py
+++ b/src/skylarkcleat/scheduling/run_table.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
 from skylarkcleat.scheduling import probe_result
@@ -28,7 +28,7 @@
     """
 
     def __init__(self) -> None:
-        self.runner: scheduling.Runner | None = None
+        self.runner: leasing.Runner | None = None
         self.last_acknowledged = 0
         self.runs: dict[str, local_run.LocalRun] = {}
         self._born_ms = 0
@@ -97,7 +97,7 @@
         times = [known.must_end_by for known in self.runs.values()]
         return min((at for at in times if at is not None), default=None)
 
-    def update_runner(self, runner: scheduling.Runner) -> bool:
+    def update_runner(self, runner: leasing.Runner) -> bool:
         """Records the runner's description of itself.
 
         Returns:
@@ -110,7 +110,7 @@
             previous is not None and previous.id != runner.id
         )
 
-    def admit(self, order: scheduling.Start) -> str:
+    def admit(self, order: leasing.Start) -> str:
         """Admits an order to start a task if the runner has capacity.
 
         Returns:
@@ -193,7 +193,7 @@
         )
         return probe_result.RunChanges(ends, tuple(missing))
 
-    def list_running(self) -> tuple[scheduling.Run, ...]:
+    def list_running(self) -> tuple[leasing.Run, ...]:
         """Returns the runs for a report to the owner."""
         return tuple(known.describe() for known in self.runs.values())
 
@@ -243,9 +243,7 @@
             known.state = local_run.RunState.STARTED
             known.conclusive_at = now
 
-    def _has_room(
-        self, runner: scheduling.Runner, order: scheduling.Start
-    ) -> bool:
+    def _has_room(self, runner: leasing.Runner, order: leasing.Start) -> bool:
         cpu, memory_mb, gpu = order.cpu, order.memory_mb, order.gpu
         for known in self.runs.values():
             size = known.describe()
--- a/src/skylarkcleat/scheduling/runner_life.py
+++ b/src/skylarkcleat/scheduling/runner_life.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 
 
-def identify(runner: scheduling.Runner | None) -> tuple[str, int]:
+def identify(runner: leasing.Runner | None) -> tuple[str, int]:
     """Returns what tells one life of a runner from another."""
     return (runner.id, runner.born_ms) if runner else ("", 0)
 
 
 def keep_draining(
-    known: scheduling.Runner | None, runner: scheduling.Runner | None
-) -> scheduling.Runner | None:
+    known: leasing.Runner | None, runner: leasing.Runner | None
+) -> leasing.Runner | None:
     """Returns what is said of a runner, which drains until its life ends.
 
     A side process that has restarted may hear an old heartbeat first.
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
 from skylarkcleat.scheduling import owner_state
@@ -81,7 +81,7 @@
         worker.add(
             placed_run.PlacedRun(task.name, task.run, step, now, expected_s)
         )
-        start = scheduling.Start(
+        start = leasing.Start(
             worker.epoch,
             task.name,
             task.run,
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -4,6 +4,7 @@
 
 import math
 
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import placed_run
@@ -74,7 +75,7 @@
 
     def __init__(
         self,
-        register: scheduling.Register,
+        register: leasing.Register,
         peer: session_lib.Endpoint,
         now: float,
         open_at: float,
@@ -108,12 +109,12 @@
         self._update_room()
 
     @property
-    def runner(self) -> scheduling.Runner | None:
+    def runner(self) -> leasing.Runner | None:
         """The runner's last description of itself; None before that."""
         return self._runner
 
     @runner.setter
-    def runner(self, runner: scheduling.Runner | None) -> None:
+    def runner(self, runner: leasing.Runner | None) -> None:
         self._runner = runner_life.keep_draining(self._runner, runner)
         self._update_room()
 
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -13,7 +13,7 @@
 
 import eliot
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import room_index as room_index_lib
 from skylarkcleat.scheduling import settling as settling_lib
@@ -104,7 +104,7 @@
     def register(
         self,
         peer: session_lib.Endpoint,
-        message: scheduling.Register,
+        message: leasing.Register,
         now: float,
     ) -> worker_lib.Worker:
         """Grants a side process a lease, replacing any earlier one.
--- a/src/skylarkcleat/side/orders.py
+++ b/src/skylarkcleat/side/orders.py
@@ -9,7 +9,7 @@
 import eliot
 
 from skylarkcleat.platform import runner_client
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
 from skylarkcleat.side import probes as probes_lib
@@ -51,24 +51,24 @@
                 continue
             for known in state.run_table.list_overdue(state.now()):
                 epoch = state.lease.epoch
-                stop = scheduling.Stop(epoch, known.task, known.run)
+                stop = leasing.Stop(epoch, known.task, known.run)
                 state.spawn(self._stop(stop))
             await asyncio.sleep(lease.STOP_LEAD_S / 2)
 
     def handle(self, message: t.Any) -> None:
         """Handles an order under the present lease."""
         run_table = self._state.run_table
-        if isinstance(message, scheduling.Start):
+        if isinstance(message, leasing.Start):
             self._handle_start(message)
-        elif isinstance(message, scheduling.Adopt):
+        elif isinstance(message, leasing.Adopt):
             run_table.adopt(message.task, message.run)
-        elif isinstance(message, scheduling.Stop):
+        elif isinstance(message, leasing.Stop):
             self._handle_stop(message)
-        elif isinstance(message, scheduling.EndsAcknowledged):
+        elif isinstance(message, leasing.EndsAcknowledged):
             run_table.record_acknowledged(message.number)
             self._state.wake.set()
 
-    def _handle_start(self, order: scheduling.Start) -> None:
+    def _handle_start(self, order: leasing.Start) -> None:
         if not self._state.lease.is_valid(self._state.now()):
             return
         reason = self._find_refusal() or self._state.run_table.admit(order)
@@ -86,15 +86,15 @@
             return "held"
         return ""
 
-    def _refuse(self, order: scheduling.Start, reason: str) -> None:
+    def _refuse(self, order: leasing.Start, reason: str) -> None:
         eliot.log_message(
             "side:refused", task=order.task, run=order.run, reason=reason
         )
         self._state.send_owner(
-            scheduling.NotStarted(order.epoch, order.task, order.run, reason)
+            leasing.NotStarted(order.epoch, order.task, order.run, reason)
         )
 
-    async def _start(self, order: scheduling.Start) -> None:
+    async def _start(self, order: leasing.Start) -> None:
         state = self._state
         deadline = state.find_deadline()
         if deadline is None:
@@ -118,7 +118,7 @@
             reason = answer.reason or f"status-{answer.status}"
             self._refuse(order, reason)
 
-    async def _resolve(self, order: scheduling.Start) -> None:
+    async def _resolve(self, order: leasing.Start) -> None:
         """Stops a task whose start got no answer, unless it is running."""
         eliot.log_message(
             "side:start-unanswered", task=order.task, run=order.run
@@ -128,18 +128,18 @@
         if known is None or known.run != order.run:
             return
         if known.state is local_run.RunState.UNKNOWN:
-            stop = scheduling.Stop(order.epoch, order.task, order.run)
+            stop = leasing.Stop(order.epoch, order.task, order.run)
             await self._stop(stop)
             await self._probes.probe(0)
 
-    def _handle_stop(self, order: scheduling.Stop) -> None:
+    def _handle_stop(self, order: leasing.Stop) -> None:
         state = self._state
         if state.run_table.request_stop(order.task, order.run, state.now()):
             state.stops_changed.set()
         else:
             state.spawn(self._stop(order))
 
-    async def _stop(self, order: scheduling.Stop) -> None:
+    async def _stop(self, order: leasing.Stop) -> None:
         state = self._state
         answer = await self._client.stop(order, state.runner_id)
         if answer.status == 200:
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -9,7 +9,7 @@
 
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import probe_result
 from skylarkcleat.side import registration as registration_lib
@@ -154,14 +154,12 @@
         if self._reported_epoch != epoch:
             self._reported_epoch = epoch
             running = self._state.run_table.list_running()
-            send_owner(scheduling.Report(epoch, running, changes.ends))
+            send_owner(leasing.Report(epoch, running, changes.ends))
             return
         if changes.ends:
-            send_owner(scheduling.Ended(epoch, changes.ends))
+            send_owner(leasing.Ended(epoch, changes.ends))
         for known in changes.missing:
-            send_owner(
-                scheduling.NotStarted(epoch, known.task, known.run, "gone")
-            )
+            send_owner(leasing.NotStarted(epoch, known.task, known.run, "gone"))
 
     def _record_missed_probe(self) -> None:
         """Records that a probe got no answer.
@@ -192,7 +190,7 @@
             "side:runner-silent", epoch=epoch, is_silent=is_unresponsive
         )
         self._state.send_owner(
-            scheduling.RunnerUnresponsive(epoch, is_unresponsive)
+            leasing.RunnerUnresponsive(epoch, is_unresponsive)
         )
 
     def _give_up_expired_runs(self) -> None:
@@ -220,8 +218,6 @@
         self._reported_epoch = epoch
         for run in lost.unanswered:
             state.send_owner(
-                scheduling.NotStarted(
-                    epoch, run.task, run.run, scheduling.UNANSWERED
-                )
+                leasing.NotStarted(epoch, run.task, run.run, leasing.UNANSWERED)
             )
-        state.send_owner(scheduling.RunnerLost(epoch, lost.started))
+        state.send_owner(leasing.RunnerLost(epoch, lost.started))
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -12,9 +12,9 @@
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
 from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
-from skylarkcleat.protocol import scheduling
 from skylarkcleat.side import orders as orders_lib
 from skylarkcleat.side import probes as probes_lib
 from skylarkcleat.side import registration as registration_lib
@@ -117,7 +117,7 @@
         return ""
 
     def _is_stale(
-        self, heartbeat: runner_body.Heartbeat, known: scheduling.Runner
+        self, heartbeat: runner_body.Heartbeat, known: leasing.Runner
     ) -> bool:
         runner = heartbeat.runner
         if runner.born_ms != known.born_ms:
@@ -145,16 +145,16 @@
             self._registration.handle_found(message)
         elif isinstance(message, owning.OwnershipMoved):
             self._registration.handle_moved(sender, message)
-        elif isinstance(message, scheduling.Grant):
+        elif isinstance(message, leasing.Grant):
             self._handle_grant(sender, message)
-        elif isinstance(message, scheduling.Renewed):
+        elif isinstance(message, leasing.Renewed):
             held.renew(message.epoch, message.sent_at, self._state.now())
-        elif isinstance(message, scheduling.Unregistered):
+        elif isinstance(message, leasing.Unregistered):
             self._registration.handle_unregistered(message)
         elif message.epoch == held.epoch:
             self._orders.handle(message)
 
-    def _handle_grant(self, sender: str, grant: scheduling.Grant) -> None:
+    def _handle_grant(self, sender: str, grant: leasing.Grant) -> None:
         held = self._state.lease
         previous = held.owner
         if not held.grant(sender, grant.epoch, grant.sent_at):
--- a/src/skylarkcleat/side/registration.py
+++ b/src/skylarkcleat/side/registration.py
@@ -8,9 +8,9 @@
 
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
-from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import lease
 from skylarkcleat.side import state as state_lib
 
@@ -69,7 +69,7 @@
             self._state.lease.record_owner_ended()
             self._register(locating.OwnerRef(moved.owner, moved.term))
 
-    def handle_unregistered(self, message: scheduling.Unregistered) -> None:
+    def handle_unregistered(self, message: leasing.Unregistered) -> None:
         """Registers anew with an owner that asks for it."""
         if message.epoch == self._state.lease.epoch:
             self._register(self._state.lease.owner)
@@ -83,7 +83,7 @@
     def renew(self) -> None:
         """Asks the owner to renew the lease."""
         self._state.send_owner(
-            scheduling.Renew(
+            leasing.Renew(
                 self._state.lease.epoch,
                 self._state.now(),
                 self._state.run_table.runner,
@@ -102,7 +102,7 @@
     def _register(self, owner: locating.OwnerRef) -> None:
         if not owner.name:
             return
-        register = scheduling.Register(
+        register = leasing.Register(
             self._local_name,
             self._zone,
             self._state.lease.request(owner),
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -20,6 +20,7 @@
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.side import process as side_process
 from skylarkcleat.wire import event as event_lib
@@ -157,7 +158,7 @@
         self._born_ms = 1
         self._fence = 0
         self._last_ended_runs: dict[str, int] = {}
-        self._ends: list[scheduling.End] = []
+        self._ends: list[leasing.End] = []
         self._number = 0
         self._deadline = 0.0
         self._sequence = 0
@@ -176,7 +177,7 @@
 
     def describe(self) -> runner_body.Heartbeat:
         self._sequence += 1
-        runner = scheduling.Runner(
+        runner = leasing.Runner(
             self.id,
             self._born_ms,
             UPSTREAM,
@@ -189,14 +190,14 @@
         return runner_body.Heartbeat(runner, "", self._sequence, 0)
 
     async def start(
-        self, order: scheduling.Start, deadline_ms: int, runner: str
+        self, order: leasing.Start, deadline_ms: int, runner: str
     ) -> runner_body.Answer:
         if runner != self.id:
             return WRONG_INCARNATION
         return await self._call(lambda: self._start(order, deadline_ms))
 
     async def stop(
-        self, order: scheduling.Stop, runner: str
+        self, order: leasing.Stop, runner: str
     ) -> runner_body.Answer:
         if runner != self.id:
             return WRONG_INCARNATION
@@ -263,7 +264,7 @@
             self._deadline = max(self._deadline, min(deadline_ms, latest))
 
     def _start(
-        self, order: scheduling.Start, deadline_ms: int
+        self, order: leasing.Start, deadline_ms: int
     ) -> runner_body.Answer:
         self._end_expired()
         if order.epoch < self._fence:
@@ -277,17 +278,17 @@
         if order.task not in self.runs:
             self.runs[order.task] = (order.run, self._world.now)
             took_s = self._world.find_work(order.task)
-            done = scheduling.Ending.DONE
+            done = leasing.Ending.DONE
             self._schedule(took_s, self._end, order.task, order.run, done)
             self._schedule_expiry()
         return runner_body.Answer(200, "", self._clock())
 
-    def _stop(self, order: scheduling.Stop) -> runner_body.Answer:
+    def _stop(self, order: leasing.Stop) -> runner_body.Answer:
         if order.epoch < self._fence:
             return runner_body.Answer(409, "fence", self._clock())
         last_ended = self._last_ended_runs.get(order.task, 0)
         self._last_ended_runs[order.task] = max(last_ended, order.run)
-        stopped = scheduling.Ending.STOPPED
+        stopped = leasing.Ending.STOPPED
         self._schedule(0.05, self._end, order.task, order.run, stopped)
         return runner_body.Answer(200, "", self._clock())
 
@@ -329,9 +330,9 @@
     def _end_expired(self) -> None:
         if self._clock() > self._deadline:
             for task, (run, _) in list(self.runs.items()):
-                self._end(task, run, scheduling.Ending.LAPSED)
+                self._end(task, run, leasing.Ending.LAPSED)
 
-    def _end(self, task: str, run: int, ending: scheduling.Ending) -> None:
+    def _end(self, task: str, run: int, ending: leasing.Ending) -> None:
         known = self.runs.get(task)
         if known is None or known[0] != run:
             return
@@ -342,7 +343,7 @@
         now = self._world.now
         self._world.runs.append(Run(task, run, self.id, known[1], now))
         self._number += 1
-        self._ends.append(scheduling.End(self._number, task, run, ending))
+        self._ends.append(leasing.End(self._number, task, run, ending))
         self._changed.set()
 
 
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from skylarkcleat.configuration import content
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
@@ -233,7 +234,7 @@
     def _register(self, runner: int, now: float = 0.0) -> None:
         size = self.load.sizes[runner % len(self.load.sizes)]
         epoch = self._epochs.get(runner, 0) + 100
-        described = scheduling.Runner(
+        described = leasing.Runner(
             f"i-{runner}-{epoch}",
             epoch,
             UPSTREAM,
@@ -244,18 +245,18 @@
             False,
         )
         peer = session_lib.Endpoint(f"side-{runner}", 1)
-        register = scheduling.Register(peer.name, "z", epoch, described, now)
+        register = leasing.Register(peer.name, "z", epoch, described, now)
         self.owner.register(peer, register, now)
         self.owner.workers[peer.name].open_at = now
         self._epochs[runner] = epoch
         self._ends[runner] = 0
-        report = scheduling.Report(epoch, (), ())
+        report = leasing.Report(epoch, (), ())
         self.owner.handle_side_report(peer.name, report, now)
 
     def _renew(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
             peer = session_lib.Endpoint(f"side-{runner}", 1)
-            renew = scheduling.Renew(self._epochs[runner], now, None)
+            renew = leasing.Renew(self._epochs[runner], now, None)
             self.owner.renew(peer, renew, now)
             self._at(now + RENEW_S, self._renew(runner))
 
@@ -323,16 +324,16 @@
                         job in self._deadly,
                     )
                 )
-            elif isinstance(message, scheduling.Start):
+            elif isinstance(message, leasing.Start):
                 runner = int(outgoing.peer.name.partition("-")[2])
                 self._start(runner, message, now + ORDER_S)
-            elif isinstance(message, scheduling.Stop):
+            elif isinstance(message, leasing.Stop):
                 runner = int(outgoing.peer.name.partition("-")[2])
-                stopped = scheduling.Ending.STOPPED
+                stopped = leasing.Ending.STOPPED
                 end = self._end(runner, message, stopped)
                 self._at(now + ORDER_S + STOP_S, end)
 
-    def _start(self, runner: int, start: scheduling.Start, now: float) -> None:
+    def _start(self, runner: int, start: leasing.Start, now: float) -> None:
         job_id, _, _, index = start.task.split(".")
         if now < self._down_until[runner]:
             self._running.add((runner, start.task, start.run))
@@ -342,13 +343,13 @@
             self._at(crash_at, self._crash(runner, start.task))
         factor = self.load.speeds[runner % len(self.load.speeds)]
         took_s = self._works[job_id][int(index)] * factor
-        ending = scheduling.Ending.DONE
+        ending = leasing.Ending.DONE
         for fault in self.load.faults:
             inside = fault.at <= now < fault.at + fault.for_s
             if runner in fault.runners and inside:
                 took_s *= fault.slower
                 if fault.fails:
-                    ending = scheduling.Ending.FAILED
+                    ending = leasing.Ending.FAILED
                     took_s = 0.005
         self._running.add((runner, start.task, start.run))
         self.runs.append((now, now + took_s, runner, start.task, ending))
@@ -369,7 +370,7 @@
 
     def _fall_silent(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
-            message = scheduling.RunnerUnresponsive(self._epochs[runner], True)
+            message = leasing.RunnerUnresponsive(self._epochs[runner], True)
             self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
@@ -379,9 +380,9 @@
             lost = [key for key in self._running if key[0] == runner]
             self._running.difference_update(lost)
             runs = tuple(
-                scheduling.Run(task, run, 1, 1, 0) for _, task, run in lost
+                leasing.Run(task, run, 1, 1, 0) for _, task, run in lost
             )
-            message = scheduling.RunnerLost(self._epochs[runner], runs)
+            message = leasing.RunnerLost(self._epochs[runner], runs)
             self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
@@ -395,8 +396,8 @@
     def _end(
         self,
         runner: int,
-        start: scheduling.Start | scheduling.Stop,
-        ending: scheduling.Ending,
+        start: leasing.Start | leasing.Stop,
+        ending: leasing.Ending,
     ) -> t.Callable[[float], None]:
         def act(now: float) -> None:
             key = (runner, start.task, start.run)
@@ -405,10 +406,8 @@
                 return
             self._running.remove(key)
             self._ends[runner] += 1
-            end = scheduling.End(
-                self._ends[runner], start.task, start.run, ending
-            )
-            ended = scheduling.Ended(start.epoch, (end,))
+            end = leasing.End(self._ends[runner], start.task, start.run, ending)
+            ended = leasing.Ended(start.epoch, (end,))
             self.owner.handle_side_report(f"side-{runner}", ended, now)
 
         return act
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -9,6 +9,7 @@
 from skylarkcleat.platform import daemon as platform_daemon
 from skylarkcleat.protocol import diagnostics
 from skylarkcleat.protocol import dispatching
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
@@ -30,10 +31,10 @@
     "Hello": locating.ViewRequest(None),
     "IncidentsFound": diagnostics.IncidentPage(1, b"", 0, True),
     "IncidentsWanted": diagnostics.IncidentQuery(1),
-    "Keep": scheduling.Adopt(1, "task", 1),
+    "Keep": leasing.Adopt(1, "task", 1),
     "Moved": owning.OwnershipMoved("10.0.0.1", 1),
-    "Noted": scheduling.EndsAcknowledged(1, 1),
-    "RunnerSilent": scheduling.RunnerUnresponsive(1, True),
+    "Noted": leasing.EndsAcknowledged(1, 1),
+    "RunnerSilent": leasing.RunnerUnresponsive(1, True),
     "Sides": owning.SideNames(1, ("side-1",)),
 }
 MESSAGE_TYPES = (*messages.MESSAGES, *platform_daemon.MESSAGES)
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -22,6 +22,7 @@
 from skylarkcleat.front import log_service
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import daemon
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import follower_leases
 from skylarkcleat.scheduling import lease
@@ -39,7 +40,7 @@
 FRONT = session_lib.Endpoint("front", 1)
 SIDE = session_lib.Endpoint("side-1", 1)
 JOB = "5c0e7a21d94b36f8"
-RUNNER = scheduling.Runner("i-1", 1, "desk", 8000, 1024, 0, ("a",), False)
+RUNNER = leasing.Runner("i-1", 1, "desk", 8000, 1024, 0, ("a",), False)
 
 
 @pytest.fixture
@@ -53,10 +54,10 @@
 
 def _register(owner, epoch, runner=RUNNER, now=0.0):
     owner.register(
-        SIDE, scheduling.Register("side-1", "z", epoch, runner, now), now
+        SIDE, leasing.Register("side-1", "z", epoch, runner, now), now
     )
     owner.workers["side-1"].open_at = now
-    owner.handle_side_report("side-1", scheduling.Report(epoch, (), ()), now)
+    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), now)
 
 
 def _submit(owner, now, request=1):
@@ -82,35 +83,35 @@
 def test_work_of_a_side_that_is_only_slow_to_report_is_left_alone(owner):
     _register(owner, 1)
     _submit(owner, 0.1)
-    assert len(_take(owner, scheduling.Start)) == 1
+    assert len(_take(owner, leasing.Start)) == 1
     now = 0.1
     while now < lease.SIDE_LEASE_S - 0.02:
         now += 0.02
         owner.tick(now)
         owner.place(now)
-    owner.renew(SIDE, scheduling.Renew(1, now, None), now)
+    owner.renew(SIDE, leasing.Renew(1, now, None), now)
     owner.tick(now + 0.5)
-    orders = _take(owner, scheduling.Start | scheduling.Stop)
+    orders = _take(owner, leasing.Start | leasing.Stop)
     assert not orders
 
 
 def test_a_paused_owner_orders_nothing_under_leases_that_ran_out(owner):
     _register(owner, 1)
     _submit(owner, 5.0)
-    assert not _take(owner, scheduling.Start)
+    assert not _take(owner, leasing.Start)
 
 
 def test_a_runner_that_left_is_not_used_again_after_its_side_restarts(owner):
     _register(owner, 1, RUNNER._replace(draining=True))
     _register(owner, 2, RUNNER, now=1.0)
     _submit(owner, 1.1)
-    assert not _take(owner, scheduling.Start)
-    owner.renew(SIDE, scheduling.Renew(2, 1.2, RUNNER), 1.2)
+    assert not _take(owner, leasing.Start)
+    owner.renew(SIDE, leasing.Renew(2, 1.2, RUNNER), 1.2)
     owner.place(1.2)
-    assert not _take(owner, scheduling.Start)
+    assert not _take(owner, leasing.Start)
     _register(owner, 3, RUNNER._replace(born_ms=2), now=1.3)
     owner.place(1.3)
-    assert len(_take(owner, scheduling.Start)) == 1
+    assert len(_take(owner, leasing.Start)) == 1
 
 
 def test_a_front_whose_clock_was_set_back_before_its_restart_is_followed():
@@ -164,11 +165,11 @@
 def test_work_that_ran_is_not_run_again_after_its_answer_was_lost(owner):
     _register(owner, 1)
     _submit(owner, 0.1)
-    start = _take(owner, scheduling.Start)[0]
-    end = scheduling.End(1, start.task, start.run, scheduling.Ending.DONE)
-    owner.handle_side_report("side-1", scheduling.Ended(1, (end,)), 0.2)
+    start = _take(owner, leasing.Start)[0]
+    end = leasing.End(1, start.task, start.run, leasing.Ending.DONE)
+    owner.handle_side_report("side-1", leasing.Ended(1, (end,)), 0.2)
     _take(owner, scheduling.Reply)
-    owner.renew(SIDE, scheduling.Renew(1, 1.5, None), 1.5)
+    owner.renew(SIDE, leasing.Renew(1, 1.5, None), 1.5)
     _submit(owner, 1.5, request=2)
     sent = owner.outbox.take()
     verdicts = [
@@ -177,7 +178,7 @@
         if isinstance(each.message, scheduling.Reply)
     ]
     assert verdicts == [scheduling.Verdict.COMPLETED]
-    assert not any(isinstance(e.message, scheduling.Start) for e in sent)
+    assert not any(isinstance(e.message, leasing.Start) for e in sent)
 
 
 @pytest.mark.parametrize("bad", [b"", b"\xc1", b"\x91" * 3000, b"x" * 2000000])
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -9,6 +9,7 @@
 from skylarkcleat.platform import job_body
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import settings as settings_lib
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from tests import fake_runner
 from tests import platform_fleet
@@ -96,7 +97,7 @@
     heartbeat = runner_body.decode_heartbeat(
         "i-1", json.dumps(fake_runner.HEARTBEAT).encode()
     )
-    assert heartbeat.runner == scheduling.Runner(
+    assert heartbeat.runner == leasing.Runner(
         "i-1",
         1700000000000,
         "huvo",
@@ -132,7 +133,7 @@
     }
     answer = runner_body.decode_hold_answer(json.dumps(body).encode())
     assert answer.running == (("t", 2),)
-    assert answer.ends == (scheduling.End(58, "u", 1, scheduling.Ending.DONE),)
+    assert answer.ends == (leasing.End(58, "u", 1, leasing.Ending.DONE),)
 
 
 def test_settings_ignore_unknown_fields(tmp_path):
--- a/tests/test_runner_client.py
+++ b/tests/test_runner_client.py
@@ -8,10 +8,10 @@
 
 from skylarkcleat.platform import names
 from skylarkcleat.platform import runner_client
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 
-START = scheduling.Start(1, "0" * 16 + ".0.0.0", 1, "spec", 1000, 64, 0)
-STOP = scheduling.Stop(1, START.task, 1)
+START = leasing.Start(1, "0" * 16 + ".0.0.0", 1, "spec", 1000, 64, 0)
+STOP = leasing.Stop(1, START.task, 1)
 
 
 async def _never_answer(request):
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import crashes as crashes_lib
 from tests import scheduling_world as world_lib
@@ -103,6 +104,6 @@
     starts = [
         outgoing.peer.name
         for outgoing in owner.outbox.take()
-        if isinstance(outgoing.message, scheduling.Start)
+        if isinstance(outgoing.message, leasing.Start)
     ]
     assert len(set(starts)) == 2
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarkcleat.configuration import content
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import job_table
 from skylarkcleat.scheduling import lease
@@ -23,7 +24,7 @@
 
 
 def _runner(name="i-1", born_ms=1, cpu=8000, draining=False):
-    return scheduling.Runner(
+    return leasing.Runner(
         name, born_ms, "desk", cpu, 1024, 0, ("a", "r1"), draining
     )
 
@@ -47,7 +48,7 @@
 def _request_lease(owner, side, now, runner=None):
     epoch = next(EPOCHS)
     peer = session_lib.Endpoint(side, 1)
-    message = scheduling.Register(side, "z", epoch, runner or _runner(), now)
+    message = leasing.Register(side, "z", epoch, runner or _runner(), now)
     owner.register(peer, message, now)
     owner.workers[side].open_at = now
     return epoch
@@ -56,7 +57,7 @@
 def _register(owner, side="side-1", runner=None, now=0.0, running=()):
     epoch = _request_lease(owner, side, now, runner)
     owner.handle_side_report(
-        side, scheduling.Report(epoch, tuple(running), ()), now
+        side, leasing.Report(epoch, tuple(running), ()), now
     )
     return epoch
 
@@ -85,9 +86,9 @@
     return found
 
 
-def _end(epoch, start, ending=scheduling.Ending.DONE, number=1):
-    end = scheduling.End(number, start.task, start.run, ending)
-    return scheduling.Ended(epoch, (end,))
+def _end(epoch, start, ending=leasing.Ending.DONE, number=1):
+    end = leasing.End(number, start.task, start.run, ending)
+    return leasing.Ended(epoch, (end,))
 
 
 class _SideStandIn:
@@ -100,9 +101,9 @@
 
     def renew_until(self, now, end):
         while now < end:
-            renew = scheduling.Renew(self._epoch, now, None)
+            renew = leasing.Renew(self._epoch, now, None)
             self._owner.renew(self._peer, renew, now)
-            for refusal in _take_messages(self._owner, scheduling.Unregistered):
+            for refusal in _take_messages(self._owner, leasing.Unregistered):
                 if refusal.epoch == self._epoch:
                     self._epoch = _register(self._owner, now=now)
             self._owner.tick(now)
@@ -120,23 +121,23 @@
 def test_a_job_is_answered_when_all_its_tasks_are_done(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
-    first, second = _take_messages(owner, scheduling.Start, 0.0)
+    first, second = _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report("side-1", _end(epoch, first), 0.1)
     assert not _take_messages(owner, scheduling.Reply)
     owner.handle_side_report("side-1", _end(epoch, second, number=2), 0.2)
     replies = _take_messages(owner, scheduling.Reply)
     assert [r.verdict for r in replies] == [scheduling.Verdict.COMPLETED]
     assert [
-        n.number for n in _take_messages(owner, scheduling.EndsAcknowledged)
+        n.number for n in _take_messages(owner, leasing.EndsAcknowledged)
     ] == [1, 2]
 
 
 def test_a_resent_job_joins_the_one_that_runs(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(request=1), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.submit(OTHER_FRONT, _submit(request=9), QUEUE, 0.05)
-    assert not _take_messages(owner, scheduling.Start, 0.05)
+    assert not _take_messages(owner, leasing.Start, 0.05)
     owner.handle_side_report("side-1", _end(epoch, start), 0.1)
     assert {r.request for r in _take_messages(owner, scheduling.Reply)} == {
         1,
@@ -147,11 +148,11 @@
 def test_a_job_resent_after_its_end_does_not_run_again(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(request=1), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report("side-1", _end(epoch, start), 0.1)
     _take_messages(owner, scheduling.Reply)
     owner.submit(OTHER_FRONT, _submit(request=2), QUEUE, 1.5)
-    assert not _take_messages(owner, scheduling.Start, 1.5)
+    assert not _take_messages(owner, leasing.Start, 1.5)
     (reply,) = _take_messages(owner, scheduling.Reply)
     assert reply.verdict is scheduling.Verdict.COMPLETED
 
@@ -159,13 +160,13 @@
 def test_capacity_is_never_assigned_twice(owner):
     _register(owner, runner=_runner(cpu=2500))
     owner.submit(FRONT, _submit(tasks=5), QUEUE, 0.0)
-    assert len(_take_messages(owner, scheduling.Start, 0.0)) == 2
+    assert len(_take_messages(owner, leasing.Start, 0.0)) == 2
 
 
 def test_a_draining_runner_gets_no_tasks(owner):
     _register(owner, runner=_runner(draining=True))
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    assert not _take_messages(owner, scheduling.Start, 0.0)
+    assert not _take_messages(owner, leasing.Start, 0.0)
 
 
 @pytest.mark.parametrize(
@@ -187,7 +188,7 @@
 def test_a_job_with_a_started_task_is_never_refused_as_not_run(owner):
     _register(owner, runner=_runner(cpu=1000))
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
-    assert len(_take_messages(owner, scheduling.Start, 0.0)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.0)) == 1
     owner.tick(0.9)
     assert not _take_messages(owner, scheduling.Reply)
 
@@ -196,9 +197,9 @@
     owner = _create_successor(["side-1", "side-2"], 10.0)
     _register(owner, "side-1", now=10.1)
     owner.submit(FRONT, _submit(), QUEUE, 10.1)
-    assert not _take_messages(owner, scheduling.Start, 10.1)
+    assert not _take_messages(owner, leasing.Start, 10.1)
     _register(owner, "side-2", now=10.2)
-    assert len(_take_messages(owner, scheduling.Start, 10.2)) == 1
+    assert len(_take_messages(owner, leasing.Start, 10.2)) == 1
 
 
 def test_a_new_owner_waits_out_the_lease_of_an_unresponsive_side():
@@ -209,11 +210,11 @@
     for now in (10.5, expiry - 0.01):
         owner.renew(
             session_lib.Endpoint("side-1", 1),
-            scheduling.Renew(epoch, now, None),
+            leasing.Renew(epoch, now, None),
             now,
         )
         owner.tick(now)
-        assert not _take_messages(owner, scheduling.Start, now)
+        assert not _take_messages(owner, leasing.Start, now)
     owner.tick(expiry)
     assert owner.is_settled(expiry)
 
@@ -225,15 +226,13 @@
     owner.submit(FRONT, _submit(), QUEUE, 11.0)
     now = lease.find_expiry(10.0)
     for side, each in (("side-1", epoch), ("side-2", other)):
-        renew = scheduling.Renew(each, now, None)
+        renew = leasing.Renew(each, now, None)
         owner.renew(session_lib.Endpoint(side, 1), renew, now)
     owner.tick(now)
-    assert not _take_messages(owner, scheduling.Start, now)
-    running = (scheduling.Run(TASK, 1, 1000, 64, 0),)
-    owner.handle_side_report(
-        "side-2", scheduling.Report(other, running, ()), now
-    )
-    assert not _take_messages(owner, scheduling.Start, now)
+    assert not _take_messages(owner, leasing.Start, now)
+    running = (leasing.Run(TASK, 1, 1000, 64, 0),)
+    owner.handle_side_report("side-2", leasing.Report(other, running, ()), now)
+    assert not _take_messages(owner, leasing.Start, now)
 
 
 def test_a_side_handed_over_by_two_owners_does_not_block_all_starts(owner):
@@ -242,22 +241,22 @@
     owner.extend(["side-1"], 1.0)
     owner.submit(FRONT, _submit(), QUEUE, 1.0)
     side.renew_until(1.0, 3.0)
-    assert len(_take_messages(owner, scheduling.Start)) == 1
+    assert len(_take_messages(owner, leasing.Start)) == 1
 
 
 def test_a_side_whose_report_is_missing_has_to_register_again(owner):
     side = _SideStandIn(owner, _request_lease(owner, "side-1", 0.0))
     owner.submit(FRONT, _submit(estimate_ms=5000), QUEUE, 0.0)
     side.renew_until(0.0, worker.REPORT_TIMEOUT_S)
-    assert not _take_messages(owner, scheduling.Start)
+    assert not _take_messages(owner, leasing.Start)
     side.renew_until(worker.REPORT_TIMEOUT_S, worker.REPORT_TIMEOUT_S + 0.5)
-    assert len(_take_messages(owner, scheduling.Start)) == 1
+    assert len(_take_messages(owner, leasing.Start)) == 1
 
 
 def test_a_report_from_before_a_handover_does_not_count_after_it(owner):
     epoch = _register(owner)
     owner.extend(["side-1"], 1.0)
-    owner.handle_side_report("side-1", scheduling.Report(epoch, (), ()), 1.0)
+    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), 1.0)
     assert not owner.is_settled(1.0)
     _register(owner, now=1.0)
     assert owner.is_settled(1.0)
@@ -266,15 +265,15 @@
 def test_a_new_owner_adopts_runs_reported_before_or_after_the_job():
     for job_first in (True, False):
         owner = _create_successor(["side-1"], 10.0)
-        running = [scheduling.Run(TASK, 3, 1000, 64, 0)]
+        running = [leasing.Run(TASK, 3, 1000, 64, 0)]
         submit = _submit(was_sent=True)
         if job_first:
             owner.submit(FRONT, submit, QUEUE, 10.0)
         epoch = _register(owner, now=10.1, running=running)
         if not job_first:
             owner.submit(FRONT, submit, QUEUE, 10.2)
-        assert not _take_messages(owner, scheduling.Start, 10.2)
-        start = scheduling.Start(epoch, TASK, 3, "spec", 0, 0, 0)
+        assert not _take_messages(owner, leasing.Start, 10.2)
+        start = leasing.Start(epoch, TASK, 3, "spec", 0, 0, 0)
         owner.handle_side_report("side-1", _end(epoch, start), 10.3)
         (reply,) = _take_messages(owner, scheduling.Reply)
         assert reply.verdict is scheduling.Verdict.COMPLETED
@@ -284,33 +283,31 @@
     owner = _create_successor(["side-1"], 10.0)
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
     epoch = _request_lease(owner, "side-1", 10.0)
-    done = scheduling.End(4, TASK, 1, scheduling.Ending.DONE)
-    owner.handle_side_report(
-        "side-1", scheduling.Report(epoch, (), (done,)), 10.1
-    )
+    done = leasing.End(4, TASK, 1, leasing.Ending.DONE)
+    owner.handle_side_report("side-1", leasing.Report(epoch, (), (done,)), 10.1)
     (reply,) = _take_messages(owner, scheduling.Reply)
     assert reply.verdict is scheduling.Verdict.COMPLETED
-    assert not _take_messages(owner, scheduling.Start, 10.1)
+    assert not _take_messages(owner, leasing.Start, 10.1)
 
 
 def test_a_task_moves_only_after_the_lease_of_its_side_has_ended(owner):
     _register(owner, "side-1")
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     expiry = lease.find_expiry(0.0)
     epoch = _register(owner, "side-2", _runner("i-2"), now=expiry - 0.1)
     owner.tick(expiry - 0.01)
-    assert not _take_messages(owner, scheduling.Start, expiry - 0.01)
+    assert not _take_messages(owner, leasing.Start, expiry - 0.01)
     owner.tick(expiry)
-    (again,) = _take_messages(owner, scheduling.Start, expiry)
+    (again,) = _take_messages(owner, leasing.Start, expiry)
     assert (again.epoch, again.task, again.run) == (epoch, start.task, 2)
 
 
 def test_ends_under_a_previous_lease_are_ignored(owner):
     previous = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
-    _register(owner, now=0.1, running=[scheduling.Run(TASK, 1, 1000, 64, 0)])
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
+    _register(owner, now=0.1, running=[leasing.Run(TASK, 1, 1000, 64, 0)])
     owner.handle_side_report("side-1", _end(previous, start), 0.2)
     assert not _take_messages(owner, scheduling.Reply)
 
@@ -318,9 +315,9 @@
 def test_a_run_that_the_report_lacks_is_started_again(owner):
     _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     _register(owner, now=0.2)
-    (again,) = _take_messages(owner, scheduling.Start, 0.2)
+    (again,) = _take_messages(owner, leasing.Start, 0.2)
     assert again.run > start.run
 
 
@@ -332,9 +329,9 @@
     refused = 0
     for now in (each / 1000 for each in range(100)):
         owner.tick(now)
-        for start in _take_messages(owner, scheduling.Start, now):
+        for start in _take_messages(owner, leasing.Start, now):
             refused += 1
-            answer = scheduling.NotStarted(epoch, start.task, start.run, reason)
+            answer = leasing.NotStarted(epoch, start.task, start.run, reason)
             owner.handle_side_report("side-1", answer, now)
     assert refused == 2
 
@@ -342,38 +339,38 @@
 def test_a_side_that_refused_a_start_gets_tasks_once_a_run_has_ended(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
-    first, second = _take_messages(owner, scheduling.Start, 0.0)
-    answer = scheduling.NotStarted(epoch, second.task, second.run, "room")
+    first, second = _take_messages(owner, leasing.Start, 0.0)
+    answer = leasing.NotStarted(epoch, second.task, second.run, "room")
     owner.handle_side_report("side-1", answer, 0.01)
-    assert not _take_messages(owner, scheduling.Start, 0.01)
+    assert not _take_messages(owner, leasing.Start, 0.01)
     owner.handle_side_report("side-1", _end(epoch, first), 0.02)
-    assert len(_take_messages(owner, scheduling.Start, 0.02)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.02)) == 1
 
 
 def test_a_job_fails_after_max_attempts_of_a_task(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (first,) = _take_messages(owner, scheduling.Start, 0.0)
+    (first,) = _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report(
-        "side-1", _end(epoch, first, scheduling.Ending.FAILED), 0.1
+        "side-1", _end(epoch, first, leasing.Ending.FAILED), 0.1
     )
     epoch = _register(owner, "side-2", _runner("i-2"), now=0.1)
-    (second,) = _take_messages(owner, scheduling.Start, 0.2)
+    (second,) = _take_messages(owner, leasing.Start, 0.2)
     assert second.epoch == epoch
     owner.handle_side_report(
-        "side-2", _end(epoch, second, scheduling.Ending.FAILED), 0.3
+        "side-2", _end(epoch, second, leasing.Ending.FAILED), 0.3
     )
     (reply,) = _take_messages(owner, scheduling.Reply)
     assert reply.verdict is scheduling.Verdict.FAILED
-    assert not _take_messages(owner, scheduling.Start, 0.4)
+    assert not _take_messages(owner, leasing.Start, 0.4)
 
 
 def test_an_end_reported_twice_counts_as_one_attempt(owner):
     """Two probes may list the same end before it is acknowledged."""
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (first,) = _take_messages(owner, scheduling.Start, 0.0)
-    failed = _end(epoch, first, scheduling.Ending.FAILED)
+    (first,) = _take_messages(owner, leasing.Start, 0.0)
+    failed = _end(epoch, first, leasing.Ending.FAILED)
     owner.handle_side_report("side-1", failed, 0.1)
     owner.handle_side_report("side-1", failed, 0.1)
     assert not _take_messages(owner, scheduling.Reply)
@@ -381,13 +378,13 @@
 
 @pytest.mark.parametrize(
     "ending",
-    [scheduling.Ending.LAPSED, scheduling.Ending.STOPPED],
+    [leasing.Ending.LAPSED, leasing.Ending.STOPPED],
 )
 def test_runs_that_did_not_fail_do_not_count_as_attempts(owner, ending):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     for number in range(1, 5):
-        (start,) = _take_messages(owner, scheduling.Start, 0.01 * number)
+        (start,) = _take_messages(owner, leasing.Start, 0.01 * number)
         owner.handle_side_report(
             "side-1", _end(epoch, start, ending, number), 0.01 * number
         )
@@ -397,27 +394,27 @@
 def test_a_run_number_that_a_runner_has_passed_is_skipped(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
-    refused = scheduling.NotStarted(epoch, start.task, start.run, "old")
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
+    refused = leasing.NotStarted(epoch, start.task, start.run, "old")
     owner.handle_side_report("side-1", refused, 0.01)
-    (again,) = _take_messages(owner, scheduling.Start, 0.01)
+    (again,) = _take_messages(owner, leasing.Start, 0.01)
     assert again.run > start.run + 1
 
 
 def test_runs_of_an_abandoned_job_are_stopped(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.abandon(FRONT, 1)
     owner.tick(0.1)
     owner.tick(0.2)
-    assert not _take_messages(owner, scheduling.Stop)
+    assert not _take_messages(owner, leasing.Stop)
     abandoned_at = 0.1 + job_table.ABANDONED_RETENTION_S
     peer = session_lib.Endpoint("side-1", 1)
     for now in (1.0, 2.0, abandoned_at):
-        owner.renew(peer, scheduling.Renew(epoch, now, None), now)
+        owner.renew(peer, leasing.Renew(epoch, now, None), now)
     owner.tick(abandoned_at)
-    (stop,) = _take_messages(owner, scheduling.Stop)
+    (stop,) = _take_messages(owner, leasing.Stop)
     assert (stop.task, stop.run) == (start.task, start.run)
 
 
@@ -449,33 +446,31 @@
     now = 12.0
     _register(owner, "side-2", _runner("i-2"), now=now)
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, now)
-    (start,) = _take_messages(owner, scheduling.Start, now)
+    (start,) = _take_messages(owner, leasing.Start, now)
     epoch = _request_lease(owner, "side-1", now)
-    for ending in (scheduling.Ending.LAPSED, scheduling.Ending.STOPPED):
-        end = scheduling.End(4, TASK, start.run, ending)
+    for ending in (leasing.Ending.LAPSED, leasing.Ending.STOPPED):
+        end = leasing.End(4, TASK, start.run, ending)
         owner.handle_side_report(
-            "side-1", scheduling.Report(epoch, (), (end,)), now
+            "side-1", leasing.Report(epoch, (), (end,)), now
         )
-        assert not _take_messages(owner, scheduling.Start, now)
-    running = (scheduling.Run(TASK, start.run, 1000, 64, 0),)
-    owner.handle_side_report(
-        "side-1", scheduling.Report(epoch, running, ()), now
-    )
-    owner.handle_side_report("side-1", scheduling.Report(epoch, (), ()), now)
-    assert not _take_messages(owner, scheduling.Start, now)
+        assert not _take_messages(owner, leasing.Start, now)
+    running = (leasing.Run(TASK, start.run, 1000, 64, 0),)
+    owner.handle_side_report("side-1", leasing.Report(epoch, running, ()), now)
+    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), now)
+    assert not _take_messages(owner, leasing.Start, now)
 
 
 def test_an_unresponsive_runner_gets_no_tasks_until_it_answers(owner):
     epoch = _register(owner)
     owner.handle_side_report(
-        "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
+        "side-1", leasing.RunnerUnresponsive(epoch, True), 0.0
     )
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    assert not _take_messages(owner, scheduling.Start, 0.0)
+    assert not _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report(
-        "side-1", scheduling.RunnerUnresponsive(epoch, False), 0.1
+        "side-1", leasing.RunnerUnresponsive(epoch, False), 0.1
     )
-    assert len(_take_messages(owner, scheduling.Start, 0.1)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.1)) == 1
 
 
 def test_a_runner_whose_capacity_shrinks_gets_tasks_again_once_it_grows(owner):
@@ -484,30 +479,30 @@
 
     def renew(cpu, now):
         runner = _runner(cpu=cpu)
-        owner.renew(peer, scheduling.Renew(epoch, now, runner), now)
+        owner.renew(peer, leasing.Renew(epoch, now, runner), now)
 
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    assert len(_take_messages(owner, scheduling.Start, 0.0)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.0)) == 1
     renew(1500, 0.1)
     owner.submit(FRONT, _submit(2, job="0" * 15 + "1"), QUEUE, 0.1)
-    assert not _take_messages(owner, scheduling.Start, 0.1)
+    assert not _take_messages(owner, leasing.Start, 0.1)
     renew(2000, 0.2)
-    assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.2)) == 1
 
 
 def test_tasks_of_a_lost_runner_start_on_another_one(owner):
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report(
-        "side-1", scheduling.RunnerUnresponsive(epoch, True), 0.0
+        "side-1", leasing.RunnerUnresponsive(epoch, True), 0.0
     )
     _register(owner, "side-2", _runner("i-2"), now=0.1)
-    assert not _take_messages(owner, scheduling.Start, 0.1)
-    lost = scheduling.Run(start.task, start.run, 1000, 64, 0)
-    message = scheduling.RunnerLost(epoch, (lost,))
+    assert not _take_messages(owner, leasing.Start, 0.1)
+    lost = leasing.Run(start.task, start.run, 1000, 64, 0)
+    message = leasing.RunnerLost(epoch, (lost,))
     owner.handle_side_report("side-1", message, 0.2)
-    (again,) = _take_messages(owner, scheduling.Start, 0.2)
+    (again,) = _take_messages(owner, leasing.Start, 0.2)
     assert again.task == start.task
     assert again.run > start.run
 
@@ -516,23 +511,23 @@
     """Once it was repeated while the side process started it."""
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     _register(owner, "side-2", _runner("i-2"), now=0.1)
-    owner.handle_side_report("side-1", scheduling.RunnerLost(epoch), 0.2)
-    assert not _take_messages(owner, scheduling.Start, 0.2)
-    refusal = scheduling.NotStarted(epoch, start.task, start.run, "silent")
+    owner.handle_side_report("side-1", leasing.RunnerLost(epoch), 0.2)
+    assert not _take_messages(owner, leasing.Start, 0.2)
+    refusal = leasing.NotStarted(epoch, start.task, start.run, "silent")
     owner.handle_side_report("side-1", refusal, 0.2)
-    assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.2)) == 1
 
 
 def test_a_lost_runner_counts_as_the_first_report_of_a_lease():
     owner = _create_successor(["side-1"], 10.0)
     epoch = _request_lease(owner, "side-1", 10.1)
     assert not owner.is_settled(10.2)
-    owner.handle_side_report("side-1", scheduling.RunnerLost(epoch), 10.2)
+    owner.handle_side_report("side-1", leasing.RunnerLost(epoch), 10.2)
     assert owner.is_settled(10.2)
     owner.submit(FRONT, _submit(), QUEUE, 10.2)
-    assert not _take_messages(owner, scheduling.Start, 10.2)
+    assert not _take_messages(owner, leasing.Start, 10.2)
 
 
 def test_a_front_that_was_unresponsive_has_to_resubmit_its_jobs():
@@ -541,56 +536,56 @@
     assert owner.record_heartbeat_reply(FRONT, 0.0, 0.0)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     later = lease.FRONT_LEASE_S + 0.1
-    assert not _take_messages(owner, scheduling.Start, later)
+    assert not _take_messages(owner, leasing.Start, later)
     assert owner.record_heartbeat_reply(FRONT, later, later)
-    assert not _take_messages(owner, scheduling.Start, later)
+    assert not _take_messages(owner, leasing.Start, later)
     owner.submit(FRONT, _submit(), QUEUE, later)
     owner.renew(
         session_lib.Endpoint("side-1", 1),
-        scheduling.Renew(owner.workers["side-1"].epoch, later, None),
+        leasing.Renew(owner.workers["side-1"].epoch, later, None),
         later,
     )
-    assert len(_take_messages(owner, scheduling.Start, later)) == 1
+    assert len(_take_messages(owner, leasing.Start, later)) == 1
 
 
 def test_jobs_without_a_caller_end_at_once_while_a_front_is_missing(owner):
     _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
-    (start,) = _take_messages(owner, scheduling.Start, 0.0)
+    (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.abandon(FRONT, 1)
     missing = session_lib.Endpoint("gone", 1)
     owner.record_heartbeat_reply(missing, 0.0, 0.0)
     owner.tick(lease.FRONT_LEASE_S - 0.01)
-    assert not _take_messages(owner, scheduling.Stop)
+    assert not _take_messages(owner, leasing.Stop)
     owner.tick(lease.FRONT_LEASE_S)
-    (stop,) = _take_messages(owner, scheduling.Stop)
+    (stop,) = _take_messages(owner, leasing.Stop)
     assert (stop.task, stop.run) == (start.task, start.run)
 
 
 def test_a_new_owner_confirms_only_the_runs_that_it_adopts():
     owner = _create_successor(["side-1"], 10.0)
     running = [
-        scheduling.Run(TASK, 3, 1000, 64, 0),
-        scheduling.Run(f"{'b' * 16}.0.0.0", 1, 1000, 64, 0),
+        leasing.Run(TASK, 3, 1000, 64, 0),
+        leasing.Run(f"{'b' * 16}.0.0.0", 1, 1000, 64, 0),
     ]
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
     epoch = _register(owner, now=10.1, running=running)
-    assert _take_messages(owner, scheduling.Adopt) == [
-        scheduling.Adopt(epoch, TASK, 3)
+    assert _take_messages(owner, leasing.Adopt) == [
+        leasing.Adopt(epoch, TASK, 3)
     ]
-    assert not _take_messages(owner, scheduling.Stop)
+    assert not _take_messages(owner, leasing.Stop)
 
 
 def test_a_job_waits_until_its_runs_under_another_owner_have_expired(owner):
     _register(owner)
     submit = _submit(was_sent=True)._replace(previous_expires_in_ms=500)
     owner.submit(FRONT, submit, QUEUE, 0.0)
-    assert not _take_messages(owner, scheduling.Start, 0.0)
+    assert not _take_messages(owner, leasing.Start, 0.0)
     renewed = owner.workers["side-1"]
     renewed.granted_at = 0.5
-    assert len(_take_messages(owner, scheduling.Start, 0.51)) == 0
+    assert len(_take_messages(owner, leasing.Start, 0.51)) == 0
     owner.tick(0.52)
-    assert len(_take_messages(owner, scheduling.Start, 0.52)) == 1
+    assert len(_take_messages(owner, leasing.Start, 0.52)) == 1
 
 
 @pytest.mark.parametrize(("followed_until", "waits"), [(9.9, 0), (10.4, 1)])
@@ -603,10 +598,10 @@
     submit = _submit(was_sent=True, estimate_ms=2000)
     submit = submit._replace(previous_expires_in_ms=left_ms)
     owner.submit(FRONT, submit, QUEUE, 10.5)
-    assert len(_take_messages(owner, scheduling.Start, 10.5)) == 1 - waits
+    assert len(_take_messages(owner, leasing.Start, 10.5)) == 1 - waits
     owner.workers["side-1"].granted_at = expiry
     owner.tick(expiry + 0.01)
-    assert len(_take_messages(owner, scheduling.Start, expiry + 0.01)) == waits
+    assert len(_take_messages(owner, leasing.Start, expiry + 0.01)) == waits
 
 
 def test_a_task_found_running_twice_starts_again_only_once_both_have_ended():
@@ -614,23 +609,19 @@
     first = _request_lease(owner, "side-1", 0.0)
     second = _request_lease(owner, "side-2", 0.0)
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 0.0)
-    run = scheduling.Run(TASK, 1, 1000, 64, 0)
-    owner.handle_side_report(
-        "side-1", scheduling.Report(first, (run,), ()), 0.0
-    )
+    run = leasing.Run(TASK, 1, 1000, 64, 0)
+    owner.handle_side_report("side-1", leasing.Report(first, (run,), ()), 0.0)
     other = run._replace(run=2)
     owner.handle_side_report(
-        "side-2", scheduling.Report(second, (other,), ()), 0.0
+        "side-2", leasing.Report(second, (other,), ()), 0.0
     )
-    assert [stop.run for stop in _take_messages(owner, scheduling.Stop)] == [2]
-    missing = scheduling.NotStarted(first, TASK, 1, "gone")
+    assert [stop.run for stop in _take_messages(owner, leasing.Stop)] == [2]
+    missing = leasing.NotStarted(first, TASK, 1, "gone")
     owner.handle_side_report("side-1", missing, 0.1)
-    assert not _take_messages(owner, scheduling.Start, 0.1)
-    stopped = scheduling.End(1, TASK, 2, scheduling.Ending.STOPPED)
-    owner.handle_side_report(
-        "side-2", scheduling.Ended(second, (stopped,)), 0.2
-    )
-    assert len(_take_messages(owner, scheduling.Start, 0.2)) == 1
+    assert not _take_messages(owner, leasing.Start, 0.1)
+    stopped = leasing.End(1, TASK, 2, leasing.Ending.STOPPED)
+    owner.handle_side_report("side-2", leasing.Ended(second, (stopped,)), 0.2)
+    assert len(_take_messages(owner, leasing.Start, 0.2)) == 1
 
 
 def test_a_job_waits_for_every_owner_that_received_it():
@@ -638,6 +629,6 @@
     _register(owner)
     message = _submit(was_sent=True)._replace(earlier_expires_in_ms=50)
     owner.submit(FRONT, message, QUEUE, 0.0)
-    assert not _take_messages(owner, scheduling.Start, 0.04)
+    assert not _take_messages(owner, leasing.Start, 0.04)
     owner.tick(0.06)
-    assert _take_messages(owner, scheduling.Start, 0.06)
+    assert _take_messages(owner, leasing.Start, 0.06)
--- a/tests/test_scheduling_room_index.py
+++ b/tests/test_scheduling_room_index.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from skylarkcleat.configuration import content
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import placed_run
@@ -99,10 +100,10 @@
     ) -> None:
         self.count += 1
         side = f"side-{number}"
-        runner = scheduling.Runner(
+        runner = leasing.Runner(
             f"i-{number}", 1, upstream, cores * 1000, 9999, 0, (rack,), False
         )
-        register = scheduling.Register(side, "z", self.count, runner, self.now)
+        register = leasing.Register(side, "z", self.count, runner, self.now)
         worker = self.workers.register(
             session_lib.Endpoint(side, 1), register, self.now
         )
@@ -222,10 +223,10 @@
     draw = random.Random(1)
     workers = workers_lib.Workers((), 0.0, 0.0)
     for number in range(300):
-        runner = scheduling.Runner(
+        runner = leasing.Runner(
             f"i-{number}", 1, "desk", 4000, 99, 0, (), False
         )
-        register = scheduling.Register(f"s-{number}", "z", 1, runner, 0.0)
+        register = leasing.Register(f"s-{number}", "z", 1, runner, 0.0)
         peer = session_lib.Endpoint(register.side, 1)
         worker = workers.register(peer, register, 0.0)
         workers.record_report(worker)
--- a/tests/test_scheduling_run_table.py
+++ b/tests/test_scheduling_run_table.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
 from skylarkcleat.scheduling import probe_result
 from skylarkcleat.scheduling import run_table as run_table_lib
 
-RUNNER = scheduling.Runner("i-1", 7, "desk", 2000, 1024, 0, ("a",), False)
+RUNNER = leasing.Runner("i-1", 7, "desk", 2000, 1024, 0, ("a",), False)
 
 
 def _order(task="t", run=1, cpu=1000):
-    return scheduling.Start(5, task, run, "spec", cpu, 64, 0)
+    return leasing.Start(5, task, run, "spec", cpu, 64, 0)
 
 
 def _probe(asked_at, running=(), ends=(), born_ms=7, answered_at=None):
@@ -23,8 +23,8 @@
     )
 
 
-def _end(number, task="t", run=1, ending=scheduling.Ending.DONE):
-    return scheduling.End(number, task, run, ending)
+def _end(number, task="t", run=1, ending=leasing.Ending.DONE):
+    return leasing.End(number, task, run, ending)
 
 
 @pytest.fixture
@@ -77,7 +77,7 @@
 def test_a_run_of_unknown_size_uses_all_capacity(run_table):
     run_table.apply_probe(_probe(1.0, running=[("a", 4)]))
     assert run_table.admit(_order("b", cpu=1)) == "room"
-    assert run_table.list_running() == (scheduling.Run("a", 4, -1, 0, 0),)
+    assert run_table.list_running() == (leasing.Run("a", 4, -1, 0, 0),)
 
 
 def test_an_unanswered_start_is_not_missing_before_it_expires(run_table):
--- a/tests/test_scheduling_speed.py
+++ b/tests/test_scheduling_speed.py
@@ -3,6 +3,7 @@
 import pytest
 
 from skylarkcleat.configuration import content
+from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import placed_run
@@ -17,12 +18,12 @@
 
 
 def _register(owner):
-    runner = scheduling.Runner(
+    runner = leasing.Runner(
         "i-1", 1, "desk", 64000, 65536, 0, ("a", "r1"), False
     )
-    register = scheduling.Register("side-1", "z", 1, runner, 0.0)
+    register = leasing.Register("side-1", "z", 1, runner, 0.0)
     owner.register(SIDE, register, 0.0)
-    owner.handle_side_report("side-1", scheduling.Report(1, (), ()), 0.0)
+    owner.handle_side_report("side-1", leasing.Report(1, (), ()), 0.0)
     owner.workers["side-1"].open_at = 0.0
 
 
@@ -38,14 +39,14 @@
     starts = [
         order.message
         for order in owner.outbox.take()
-        if isinstance(order.message, scheduling.Start)
+        if isinstance(order.message, leasing.Start)
     ]
     assert len(starts) == 32
     ends = tuple(
-        scheduling.End(number, start.task, start.run, scheduling.Ending.DONE)
+        leasing.End(number, start.task, start.run, leasing.Ending.DONE)
         for number, start in enumerate(starts, 1)
     )
-    owner.handle_side_report("side-1", scheduling.Ended(1, ends), 0.1 * slower)
+    owner.handle_side_report("side-1", leasing.Ended(1, ends), 0.1 * slower)
     factor = owner.workers["side-1"].speed.find_factor(0.1 * slower)
     assert 0.6 * slower < factor < 1.4 * slower
 
@@ -60,7 +61,7 @@
 
 @pytest.mark.parametrize(("jobs", "is_slow"), [(1, False), (4, True)])
 def test_the_late_tasks_of_one_job_count_once(jobs, is_slow):
-    register = scheduling.Register("side-1", "z", 1, None, 0.0)
+    register = leasing.Register("side-1", "z", 1, None, 0.0)
     speed = speed_lib.RunnerSpeed()
     worker = worker_lib.Worker(register, SIDE, 0.0, 0.0, speed)
     step = scheduling.Step(8, 1000, 64, 0, 100)
--- a/tests/test_scheduling_workers_log.py
+++ b/tests/test_scheduling_workers_log.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from skylarkcleat.protocol import scheduling
+from skylarkcleat.protocol import leasing
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
@@ -14,12 +14,12 @@
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
-RUNNER = scheduling.Runner("i-1", 1, "desk", 8000, 1024, 0, (), False)
+RUNNER = leasing.Runner("i-1", 1, "desk", 8000, 1024, 0, (), False)
 CLOSED = worker_phase.Closed
 
 
 def create_worker(**changes):
-    register = scheduling.Register("side", "z", 1, RUNNER, 0.0)
+    register = leasing.Register("side", "z", 1, RUNNER, 0.0)
     peer = session_lib.Endpoint("side", 1)
     worker = worker_lib.Worker(
         register, peer, 0.0, 0.0, speed_lib.RunnerSpeed()
