--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -7,13 +7,11 @@
 
 import collections
 import collections.abc
-import heapq
-import math
-import typing as t
 
 import eliot
 
 from skylarkcleat.protocol import leasing
+from skylarkcleat.scheduling import fleet_rooms
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import room_index as room_index_lib
 from skylarkcleat.scheduling import settling as settling_lib
@@ -37,13 +35,6 @@
 within about a second."""
 
 
-class _DueFactor(t.NamedTuple):
-    """When a worker's duration factor has to be updated."""
-
-    at: float
-    side: str
-
-
 class Workers:
     """Grants leases, and tracks leases of a previous owner that may be valid.
 
@@ -69,10 +60,7 @@
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
         self._log = workers_log.WorkersLog(now)
         self._changes = worker_changes_lib.WorkerChanges()
-        self._rooms: dict[str, room_index_lib.RoomIndex] = {}
-        self._listed: dict[str, room_index_lib.RoomIndex] = {}
-        self._due: list[_DueFactor] = []
-        self._due_at: dict[str, float] = {}
+        self._rooms = fleet_rooms.FleetRooms(self.by_side, self._changes)
         self._registered = 0
         self._expiry_due_at = now
         self.expect_sides(sides, now)
@@ -180,35 +168,7 @@
 
         Those whose lease is late, or that are paused, are among them.
         """
-        while self._due and self._due[0].at <= now:
-            due = heapq.heappop(self._due)
-            if self._due_at.get(due.side) == due.at:
-                self._changes.record(due.side)
-        for side in self._changes.take():
-            self._update_side(side, now)
-        return self._rooms.setdefault(upstream, room_index_lib.RoomIndex())
-
-    def _update_side(self, side: str, now: float) -> None:
-        worker = self.by_side.get(side)
-        listed = self._listed.get(side)
-        rooms = None
-        if worker is not None and worker.may_open:
-            rooms = self._rooms.setdefault(
-                worker.runner.upstream, room_index_lib.RoomIndex()
-            )
-        if listed is not None and listed is not rooms:
-            listed.discard(side)
-            del self._listed[side]
-            self._due_at.pop(side, None)
-        if rooms is None:
-            return
-        worker.update_factor(now)
-        rooms.update(worker)
-        self._listed[side] = rooms
-        at = worker.factor_due_at
-        if self._due_at.get(side) != at and at != math.inf:
-            self._due_at[side] = at
-            heapq.heappush(self._due, _DueFactor(at, side))
+        return self._rooms.find(upstream, now)
 
     def list_open(self, now: float) -> list[worker_lib.Worker]:
         """Returns the workers that may be sent tasks."""
