Ask a bounded number of fronts for a lost owner

Cause: when the owner is lost, and at each start, every side process asked all fronts for it each 0.1 s, and every front all others each 0.08 s: 160 x 40 / 0.1 + 40 x 39 / 0.08 = 83,500 requests a second and as many answers, each with a list of all fronts, over 7,960 connections that were opened for it. Weak fronts fell behind, so that heartbeats came late and more processes searched. This grows with the square of the fleet; small deployments don't show it.

Change: a side process asks four fronts at a time, others after 0.4 s; a front asks the twelve that suit best as owner and have not fallen silent, and three at random, so that at most one claims as a rule. Answers in a search list no fronts, but for the first to a side process. 160 x 4 / 0.1 + 40 x 15 / 0.08 = 13,900 requests a second, linear in the fleet.

Ruled out: longer intervals (they delay every takeover); to let the owner's successor alone announce itself (side processes that it doesn't know of wait).

--- a/src/skylarkcleat/discovery/peer_table.py
+++ b/src/skylarkcleat/discovery/peer_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import random
 import typing as t
 
@@ -13,6 +14,20 @@
 
 RANDOM_TARGETS = 3
 
+SEARCH_CANDIDATES = 12
+"""How many of the fronts that suit best as owner a front asks in a search: one
+that is asked and answers keeps the others from claiming the jobs."""
+
+SEARCH_TARGETS = 4
+"""How many fronts a side process asks at a time. Each front hears a new owner
+within a heartbeat, so that any of them can tell."""
+
+SILENT_AFTER = 2
+"""After this many unanswered requests of a search, others are asked instead."""
+
+ANSWER_TTL_S = 0.25
+"""How long an answer counts in a search."""
+
 
 class _SeenFront(t.NamedTuple):
     ref: locating.FrontRef
@@ -93,6 +108,47 @@
         names = {ref.name for ref in self.list_fronts(now)}
         return sorted({*self.seeds, *names} - {local_name, ""})
 
+    def choose_search_targets(
+        self,
+        local_name: str,
+        asked: collections.abc.Mapping[str, int],
+        now: float,
+    ) -> list[str]:
+        """Returns the fronts that a front asks for an owner.
+
+        Their number doesn't grow with the fleet, since all fronts search at
+        the same time when the owner is lost.
+
+        Args:
+            local_name: The front that searches.
+            asked: How often each front has been asked in this search.
+            now: The time, in seconds.
+        """
+        fronts = sorted(
+            self.list_fronts(now), key=lambda ref: (ref.rank, ref.name)
+        )
+        names = [ref.name for ref in fronts]
+        names += [seed for seed in self.seeds if seed not in names]
+        names = [
+            name
+            for name in names
+            if name not in (local_name, "")
+            and (asked.get(name, 0) < SILENT_AFTER or self._answers(name, now))
+        ]
+        others = names[SEARCH_CANDIDATES:]
+        count = min(len(others), RANDOM_TARGETS)
+        return names[:SEARCH_CANDIDATES] + self._random.sample(others, count)
+
+    def sample_names(self, now: float) -> list[str]:
+        """Returns a few fronts, for a side process that looks for an owner."""
+        names = self.list_names("", now)
+        return self._random.sample(names, min(len(names), SEARCH_TARGETS))
+
+    def _answers(self, name: str, now: float) -> bool:
+        """Returns whether a front has answered a moment ago."""
+        found = self.views.get(name)
+        return found is not None and now - found[1] < ANSWER_TTL_S
+
     def choose_targets(self, local_name: str, now: float) -> list[str]:
         """Returns the seeds, the log's leader and a few random fronts."""
         names = [ref.name for ref in self.list_fronts(now)]
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing as t
 
 import eliot
@@ -23,7 +24,10 @@
 """How often it requests the views of other fronts as well."""
 
 OWNER_SEARCH_INTERVAL_S = 0.08
-"""How often it queries all other fronts while no owner is reachable."""
+"""How often it queries other fronts while no owner is reachable."""
+
+SEARCH_RESET_S = 1.0
+"""After this time fronts that have not answered in a search are asked again."""
 
 TICK_S = 0.04
 
@@ -56,6 +60,8 @@
         )
         self._queried_at = 0.0
         self._searched_at = 0.0
+        self._search_reset_at = 0.0
+        self._asked: collections.Counter[str] = collections.Counter()
         self._gossiped_at = 0.0
         self._has_bootstrapped = False
 
@@ -88,7 +94,10 @@
             and message.sender is not None
         ):
             self._peers.record_front(message.sender, now)
-        return self._describe(now)
+        is_brief = isinstance(message, locating.ViewRequest) and (
+            message.is_brief
+        )
+        return self._describe(now, is_brief)
 
     def _handle_view(
         self, view: locating.View, now: float
@@ -100,18 +109,29 @@
         return locating.FetchConfiguration(self._configuration_cache.version)
 
     def _search_owner(self, now: float) -> None:
-        """Searches for an owner by querying all other fronts."""
+        """Searches for an owner by querying other fronts."""
         if not self._election.is_searching(now):
+            self._asked.clear()
+            return
+        if now - self._searched_at < OWNER_SEARCH_INTERVAL_S:
             return
-        if now - self._searched_at >= OWNER_SEARCH_INTERVAL_S:
-            self._searched_at = now
-            self._send_hello(self._peers.list_names(self._local_name, now), now)
+        self._searched_at = now
+        if now - self._search_reset_at >= SEARCH_RESET_S:
+            self._search_reset_at = now
+            self._asked.clear()
+        names = self._peers.choose_search_targets(
+            self._local_name, self._asked, now
+        )
+        self._asked.update(names)
+        self._send_hello(names, now, is_brief=True)
 
-    def _send_hello(self, names: t.Iterable[str], now: float) -> None:
+    def _send_hello(
+        self, names: t.Iterable[str], now: float, is_brief: bool = False
+    ) -> None:
         local = self._describe_local()
         self._peers.record_front(local, now)
         for name in names:
-            self._send(name, locating.ViewRequest(local))
+            self._send(name, locating.ViewRequest(local, is_brief))
 
     def _choose_targets(self, now: float) -> list[str]:
         peers = self._peers
@@ -132,11 +152,11 @@
             0,
         )
 
-    def _describe(self, now: float) -> locating.View:
+    def _describe(self, now: float, is_brief: bool = False) -> locating.View:
         peers = self._peers
         return locating.View(
             self._describe_local(),
-            tuple(peers.list_fronts(now)),
+            () if is_brief else tuple(peers.list_fronts(now)),
             self._election.followed,
             self._find_owner_last_seen_ms(now),
             peers.log,
--- a/src/skylarkcleat/protocol/locating.py
+++ b/src/skylarkcleat/protocol/locating.py
@@ -67,9 +67,11 @@
 
     Attributes:
         sender: The front that asks; None if a side process asks.
+        is_brief: Whether the answer need not list the fronts.
     """
 
     sender: FrontRef | None
+    is_brief: bool = False
 
 
 class View(t.NamedTuple):
@@ -77,7 +79,8 @@
 
     Attributes:
         sender: The front that answers.
-        fronts: The fronts that it has learned of, itself included.
+        fronts: The fronts that it has learned of, itself included; none in a
+            brief answer.
         owner: The owner that it follows.
         owner_last_seen_ms: Time since it received a message from that owner
             itself, in milliseconds; -1 if never.
--- a/src/skylarkcleat/side/registration.py
+++ b/src/skylarkcleat/side/registration.py
@@ -20,6 +20,9 @@
 OWNER_SEARCH_INTERVAL_S = 0.1
 """How often they are queried."""
 
+SEARCH_RESAMPLE_S = 0.4
+"""After this time others are queried: all of the first may be unreachable."""
+
 GOSSIP_INTERVAL_S = 1.0
 """How often the owner is queried for the list of fronts."""
 
@@ -41,6 +44,8 @@
         seeds = settings_lib.list_seed_ips(settings)
         self._peers = peer_table_lib.PeerTable(seeds, random.Random())
         self._searched_at = 0.0
+        self._sampled_at = float("-inf")
+        self._targets: list[str] = []
         self._gossiped_at = 0.0
 
     async def run(self) -> None:
@@ -117,12 +122,33 @@
         if now - held.last_seen_at >= OWNER_SEARCH_AFTER_S or not owner:
             if now - self._searched_at >= OWNER_SEARCH_INTERVAL_S:
                 self._searched_at = now
-                self._request_views(self._peers.list_names("", now))
+                self._search(now)
         elif now - self._gossiped_at >= GOSSIP_INTERVAL_S:
             self._gossiped_at = now
             self._state.disconnect_others(owner)
             self._request_views([owner])
 
-    def _request_views(self, names: t.Iterable[str]) -> None:
+    def _search(self, now: float) -> None:
+        """Asks a few fronts for the owner.
+
+        The first answer of each lists the fronts. Their number doesn't grow
+        with the fleet: all side processes search at the same time.
+        """
+        is_brief = now - self._sampled_at < SEARCH_RESAMPLE_S
+        if not is_brief:
+            self._sampled_at = now
+            self._replace_targets(self._peers.sample_names(now))
+        self._request_views(self._targets, is_brief)
+
+    def _replace_targets(self, targets: list[str]) -> None:
+        keep = {*targets, self._state.lease.owner.name}
+        for name in self._targets:
+            if name not in keep:
+                self._state.disconnect(name)
+        self._targets = targets
+
+    def _request_views(
+        self, names: t.Iterable[str], is_brief: bool = False
+    ) -> None:
         for name in names:
-            self._state.send(name, locating.ViewRequest(None))
+            self._state.send(name, locating.ViewRequest(None, is_brief))
--- a/src/skylarkcleat/side/state.py
+++ b/src/skylarkcleat/side/state.py
@@ -78,6 +78,10 @@
         """Sends a message to the owner that granted the lease."""
         self.send(self.lease.owner.name, message)
 
+    def disconnect(self, name: str) -> None:
+        """Closes the connection to a front."""
+        self._hub.disconnect(name)
+
     def disconnect_others(self, name: str) -> None:
         """Closes the connections to all fronts but one."""
         self._hub.disconnect_others(name)
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -138,6 +138,9 @@
         del address
         self._network.send(self, name, 0, message)
 
+    def disconnect(self, name: str) -> None:
+        del name
+
     def disconnect_others(self, name: str) -> None:
         del name
 
