--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -82,6 +82,7 @@
     def __init__(self, generator: random.Random) -> None:
         self.hubs: dict[str, Hub] = {}
         self.blocked_until: dict[tuple[str, str], float] = {}
+        self.sent: collections.Counter[str] = collections.Counter()
         self._random = generator
         self._arrivals: dict[tuple[str, str], float] = {}
 
@@ -93,6 +94,7 @@
 
     def send(self, hub: Hub, name: str, incarnation: int, message: t.Any):
         """Delivers a message, or reports its loss to the sender later."""
+        self.sent[type(message).__name__] += 1
         loop = asyncio.get_running_loop()
         pair = (hub.local.name, name)
         sent_at = max(loop.time(), self._arrivals.get(pair, 0.0) - 0.05)
@@ -412,6 +414,16 @@
         await asyncio.sleep(TAKEOVER_S)
         await self._submit_late_jobs()
 
+    async def run_searches(self, length_s: float) -> None:
+        """Loses the owner of a large fleet; sets `searches`."""
+        await self._open()
+        owner = self._find_owner()
+        self.network.sent.clear()
+        self._restart(owner)
+        await asyncio.sleep(length_s)
+        self.searches = self.network.sent["ViewRequest"]
+        self.successor = self._find_owner()
+
     async def run_takeover(self, lost_answers: int) -> None:
         """Ends the owner and submits a job; sets `takeover_s`."""
         await self._open()
@@ -524,7 +536,7 @@
             ip=name,
             zone="z",
             port_range=(1, 2),
-            seeds=tuple(f"{each}:1" for each in self._fronts),
+            seeds=tuple(f"{each}:1" for each in self._fronts[:3]),
         )
         if name in self.runners:
             created = side_process.SideProcess(
@@ -730,6 +742,16 @@
     return world
 
 
+def simulate_searches(
+    fronts: int, sides: int, length_s: float, monkeypatch: t.Any
+) -> World:
+    """Simulates the loss of the owner of a large fleet."""
+    world = World(1, NO_FAULTS, fronts=fronts, sides=sides)
+    _use_virtual_clock(world, monkeypatch)
+    virtual_loop.run(world.run_searches(length_s))
+    return world
+
+
 def simulate_takeover(
     seed: int, lost_answers: int, monkeypatch: t.Any
 ) -> World:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -67,6 +67,27 @@
     assert peers.list_names("b", 1.0) == [*SEEDS, "c"]
 
 
+def test_a_search_asks_the_fronts_that_suit_best_and_few_others():
+    peers = _peers()
+    refs = [_ref(f"f{n:02}")._replace(rank=n) for n in range(40)]
+    peers.merge(_view("f00", fronts=refs), 1.0)
+    targets = peers.choose_search_targets("f01", {}, 1.0)
+    best = [f"f{n:02}" for n in (0, *range(2, 13))]
+    assert targets[: len(best)] == best
+    assert len(targets) == len(best) + peer_table_lib.RANDOM_TARGETS
+    assert len(peers.sample_names(1.0)) == peer_table_lib.SEARCH_TARGETS
+
+
+def test_a_search_goes_on_to_others_while_the_best_are_silent():
+    peers = _peers()
+    refs = [_ref(f"f{n:02}")._replace(rank=n) for n in range(40)]
+    peers.merge(_view("f00", fronts=refs), 1.0)
+    asked = dict.fromkeys([f"f{n:02}" for n in range(12)], 2)
+    targets = peers.choose_search_targets("f39", asked, 1.1)
+    assert targets[0] == "f00"
+    assert targets[1:12] == [f"f{n:02}" for n in range(12, 23)]
+
+
 def _create_bootstrap(local_name, peers, empty=True, first=True):
     return bootstrap_lib.Bootstrap(local_name, empty and first, first, peers)
 
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -51,6 +51,20 @@
     assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
 
 
+# Processes searched for a lost owner at each front: the square of the fleet.
+def test_searches_for_an_owner_grow_with_the_fleet_only(monkeypatch):
+    fronts, sides, length_s = 40, 40, 1.0
+    world = world_lib.simulate_searches(fronts, sides, length_s, monkeypatch)
+    assert world.successor
+    # A search lasts up to half a second. Without a log each front also asks
+    # the seeds and three others every 0.2 s.
+    rounds = 0.5 / 0.08
+    per_front, per_side = 15, 4
+    gossip = 6 * fronts * 5 + sides
+    most = rounds * (per_front * fronts + per_side * sides) + gossip
+    assert world.searches <= most
+
+
 # An owner waited for a side process whose runner's first answers were lost.
 @pytest.mark.parametrize("seed", range(4))
 def test_lost_answers_of_runners_delay_no_takeover(seed, monkeypatch):
