Keep a runner draining by one rule, and count unacknowledged batches once

A session worked out its unacknowledged batches in two places. Behaviour as before; tests of sessions, hubs, operators' reports, odd entries and signals, and the model's runner crashes passed.

--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -15,6 +15,7 @@
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
+from skylarkcleat.scheduling import runner_life
 from skylarkcleat.side import orders as orders_lib
 from skylarkcleat.side import probes as probes_lib
 from skylarkcleat.side import registration as registration_lib
@@ -74,11 +75,7 @@
         if known is not None and self._is_stale(heartbeat, known):
             return
         self._heartbeat_sequence = heartbeat.sequence
-        if known is not None and (
-            (known.id, known.born_ms) == (runner.id, runner.born_ms)
-            and known.draining
-        ):
-            runner = runner._replace(draining=True)
+        runner = runner_life.keep_draining(known, runner)
         if known != runner:
             eliot.log_message(
                 "side:runner",
--- a/src/skylarkcleat/wire/session.py
+++ b/src/skylarkcleat/wire/session.py
@@ -207,18 +207,19 @@
 
     def _heartbeat_due(self, now: float) -> bool:
         idle_s = now - self._sent_at
-        unacknowledged = self._received - self._acknowledged_to_peer
+        unacknowledged = self._count_unacknowledged()
         if unacknowledged and idle_s > ACKNOWLEDGE_DELAY_S:
             return True
         if unacknowledged >= MAX_UNACKNOWLEDGED:
             return True
         return idle_s > self.heartbeat_s
 
-    def _owes_acknowledgement(self) -> bool:
-        return self._received > self._acknowledged_to_peer
+    def _count_unacknowledged(self) -> int:
+        """Returns how many batches the peer has not been told to have come."""
+        return self._received - self._acknowledged_to_peer
 
     def _find_due(self, now: float) -> float:
-        if self._pending or self._in_flight or self._owes_acknowledgement():
+        if self._pending or self._in_flight or self._count_unacknowledged():
             return now
         unresponsive_at = self.last_seen_at + self._choose_timeout(
             UNRESPONSIVE_TIMEOUT_S, UNRESPONSIVE_HEARTBEATS
