Log which voters a replica has no link to, and a runner's clock that goes back

The lines could not tell "no link to the voters" from "linked, but nobody is elected". `consensus:leaderless` now carries `unlinked`.

`side:clock-ahead` now shows each reading of the runner's clock that is behind the estimate, and what was kept.

--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -202,12 +202,12 @@
             self._random,
             now,
         )
-        self._status_log = status_log_lib.StatusLog(
-            settings.name, self._replica, now
-        )
         self._links = links_lib.Links(
             settings.name, settings.bind, settings.peers, self._receive
         )
+        self._status_log = status_log_lib.StatusLog(
+            settings.name, self._replica, lambda: self._links.names, now
+        )
         if settings.peers or settings.is_open:
             await stack.enter_async_context(self._links)
 
--- a/src/skylarkcleat/consensus/links.py
+++ b/src/skylarkcleat/consensus/links.py
@@ -152,6 +152,11 @@
         self._router.close(linger=0)
         self._context.term()
 
+    @property
+    def names(self) -> frozenset[str]:
+        """The replicas that there is a link to."""
+        return frozenset(self._links)
+
     def add_peer(self, name: str, address: str) -> None:
         """Opens a link to a peer, unless there is one."""
         if name not in self._links and name != self._name:
--- a/src/skylarkcleat/consensus/status_log.py
+++ b/src/skylarkcleat/consensus/status_log.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections.abc
+import typing as t
+
 import eliot
 
 from skylarkcleat.consensus import margin as margin_lib
@@ -19,14 +22,21 @@
     Args:
         name: The replica's name.
         replica: The replica.
+        list_linked: Returns the names of the replicas that this one has a link
+            to.
         now: The time, in seconds of a monotonic clock.
     """
 
     def __init__(
-        self, name: str, replica: replica_lib.Replica, now: float
+        self,
+        name: str,
+        replica: replica_lib.Replica,
+        list_linked: t.Callable[[], collections.abc.Collection[str]],
+        now: float,
     ) -> None:
         self._name = name
         self._replica = replica
+        self._list_linked = list_linked
         self._leader: tuple[int, str] = (0, "")
         self._members: membership_lib.Membership | None = None
         self._margin: margin_lib.Margin | None = None
@@ -94,9 +104,13 @@
         if now - self._leaderless_logged_at < LEADERLESS_INTERVAL_S:
             return
         self._leaderless_logged_at = now
-        voters = self._replica.context.membership.voters
+        voters = [
+            voter.name for voter in self._replica.context.membership.voters
+        ]
+        reachable = {self._name, *self._list_linked()}
         eliot.log_message(
             "consensus:leaderless",
             seconds=round(now - self._leader_known_at, 1),
-            voters=[voter.name for voter in voters],
+            voters=voters,
+            unlinked=[name for name in voters if name not in reachable],
         )
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -132,7 +132,7 @@
             if not is_hedge:
                 self._record_missed_probe()
             return None
-        state.clock.record(answer.clock_ms, state.now())
+        state.record_clock(answer.clock_ms)
         self._record_answered_probe()
         changes = state.run_table.apply_probe(
             runner_body.create_probe_result(answer, asked_at, state.now())
--- a/src/skylarkcleat/side/state.py
+++ b/src/skylarkcleat/side/state.py
@@ -5,6 +5,8 @@
 import asyncio
 import typing as t
 
+import eliot
+
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import supervision
 from skylarkcleat.platform import settings as settings_lib
@@ -13,6 +15,10 @@
 from skylarkcleat.side import runner_clock
 from skylarkcleat.wire import hub as hub_lib
 
+CLOCK_AHEAD_MS = 250
+"""An estimate of the runner's clock that is ahead of a reading by more is
+logged; an answer takes less within one VM."""
+
 
 class SideState:
     """The lease, the runs and the runner's clock of one side process.
@@ -70,6 +76,21 @@
             hold_s = min(hold_s, limit - now)
         return self.clock.find_time(now, max(hold_s, 0.0))
 
+    def record_clock(self, clock_ms: int | None) -> None:
+        """Records a reading of the runner's clock that has just arrived."""
+        now = self.now()
+        estimated_ms = self.clock.find_time(now, 0.0)
+        self.clock.record(clock_ms, now)
+        if clock_ms is None or estimated_ms is None:
+            return
+        if estimated_ms - clock_ms > CLOCK_AHEAD_MS:
+            eliot.log_message(
+                "side:clock-ahead",
+                clock_ms=clock_ms,
+                estimated_ms=estimated_ms,
+                kept_ms=self.clock.find_time(now, 0.0),
+            )
+
     def send(self, name: str, message: t.NamedTuple) -> None:
         """Sends a message to a front."""
         self._hub.send_any(name, f"tcp://{name}:{self._port}", message)
--- a/tests/test_consensus_status_log.py
+++ b/tests/test_consensus_status_log.py
@@ -19,8 +19,10 @@
 def follow(cluster, log_lines):
     """Runs a cluster and records what one node writes meanwhile."""
 
-    def run(node, seconds):
-        log = status_log.StatusLog(node.name, node.replica, cluster.now)
+    def run(node, seconds, linked="abc"):
+        log = status_log.StatusLog(
+            node.name, node.replica, lambda: linked, cluster.now
+        )
         log_lines.clear()
         end = cluster.now + seconds
         while cluster.now < end:
@@ -65,3 +67,16 @@
     assert len(lines) == 2
     assert all(sorted(line["voters"]) == ["a", "b", "c"] for line in lines)
     assert lines[1]["seconds"] >= 2 * status_log.LEADERLESS_INTERVAL_S
+
+
+def test_replica_without_a_leader_names_the_voters_without_a_link(
+    cluster, follow
+):
+    left = cluster.find_leader()
+    for node in cluster.find_followers():
+        node.crash()
+    seconds = 1.5 * status_log.LEADERLESS_INTERVAL_S
+    (line,) = select(follow(left, seconds, ""), "consensus:leaderless")
+    assert line["unlinked"] == [v for v in "abc" if v != left.name]
+    (line,) = select(follow(left, seconds), "consensus:leaderless")
+    assert line["unlinked"] == []
