Connect voters that return while the seeds are down

Cause: a replica linked only to names that discovery passed on, and discovery dropped the voters' names while no leader was known. After a restart a leader was needed to learn the names that are needed to elect one.

Evidence: `consensus:leaderless` on all three voters, `unlinked` naming the two others from second 5 to the end; two of them claimed the jobs without having met. Ruled out: that they are linked and elect nobody (`unlinked` would be empty).

Change: a replica has links to all members in its own log; replicas' names are kept without a leader and asked like seeds while none is known.

The two new tests failed before (a timeout of 12 s; no names kept).

--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -112,6 +112,12 @@
         """Whether this replica has never been in a cluster."""
         return self._replica.context.snapshot is None
 
+    @property
+    def member_names(self) -> tuple[str, ...]:
+        """The names of all replicas in the membership that is stored here."""
+        members = self._replica.context.membership.replicas
+        return tuple(member.name for member in members)
+
     @property
     def is_leading(self) -> bool:
         """Whether this replica leads, and no other replica can lead yet."""
--- a/src/skylarkcleat/discovery/peer_table.py
+++ b/src/skylarkcleat/discovery/peer_table.py
@@ -76,11 +76,18 @@
         self.record_log(view.log)
 
     def record_log(self, log: locating.LogRef) -> None:
-        """Records the leader of the log, unless a later term is known."""
-        if log.term < self.log.term or not log.leader:
+        """Records the leader of the log, unless a later term is known.
+
+        Its replicas are recorded without a leader too if none are known: they
+        have to find each other before they can elect one.
+        """
+        if log.term < self.log.term:
             return
-        replicas = log.replicas or self.log.replicas
-        self.log = log._replace(replicas=replicas)
+        if log.leader:
+            replicas = log.replicas or self.log.replicas
+            self.log = log._replace(replicas=replicas)
+        elif not self.log.replicas:
+            self.log = self.log._replace(replicas=log.replicas)
 
     def find_owner(self, now: float) -> locating.OwnerRef:
         """Returns the latest owner that a front receives heartbeats from.
@@ -150,8 +157,13 @@
         return found is not None and now - found[1] < ANSWER_TTL_S
 
     def choose_targets(self, local_name: str, now: float) -> list[str]:
-        """Returns the seeds, the log's leader and a few random fronts."""
+        """Returns the seeds, the log's leader and a few random fronts.
+
+        While no leader is known, the replicas of the log are among them: after
+        a restart a replica knows them from its disk, and the seeds may be down.
+        """
         names = [ref.name for ref in self.list_fronts(now)]
         others = self._random.sample(names, min(len(names), RANDOM_TARGETS))
-        targets = {*self.seeds, *others, self.log.leader}
-        return sorted(targets - {local_name, ""})
+        leader = self.log.leader
+        holders = (leader,) if leader else self.log.replicas
+        return sorted({*self.seeds, *others, *holders} - {local_name, ""})
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -69,7 +69,7 @@
         """Queries other fronts, bootstraps the log and tracks its leader."""
         while True:
             now = clock_lib.read_monotonic()
-            self._record_leader()
+            self._record_log()
             self._search_owner(now)
             if now - self._queried_at >= LEADER_QUERY_INTERVAL_S:
                 self._queried_at = now
@@ -172,7 +172,7 @@
             return -1
         return round((now - election.last_seen_at) * 1000)
 
-    def _record_leader(self) -> None:
+    def _record_log(self) -> None:
         log = self._log
         if log is None or log.is_empty:
             return
@@ -212,7 +212,8 @@
         for ref in self._peers.list_fronts(now):
             if ref.has_disk:
                 self._connect_replica(ref.name)
-        for name in self._peers.log.replicas:
+        members = {*self._peers.log.replicas, *self._log.member_names}
+        for name in sorted(members):
             self._connect_replica(name)
 
     def _connect_replica(self, name: str) -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -139,15 +139,27 @@
             text.replace("bootstrap = true", "bootstrap = false")
         )
 
+    def set_seeds(self, process: Process, fronts: t.Sequence[int]) -> None:
+        """Names other fronts as seeds in a process's settings."""
+        lines = [
+            line if not line.startswith("seeds = ") else self._seeds(fronts)
+            for line in process.path.read_text().splitlines()
+        ]
+        process.path.write_text("\n".join(lines) + "\n")
+
+    def _seeds(self, fronts: t.Sequence[int]) -> str:
+        seeds = [f"{self._ip(n + 1)}:{self._port + 3}" for n in fronts]
+        return f"seeds = {json.dumps(seeds)}"
+
     def _ip(self, number: int) -> str:
         return f"127.{self._block}.0.{number}"
 
     def _common(self, ip: str, has_disk: bool, bootstrap: bool) -> str:
         port = self._port
-        seeds = json.dumps([f"{self._ip(n)}:{port + 3}" for n in (1, 2, 4)])
         return (
             f'node = "{ip}"\nip = "{ip}"\nzone = "z"\n'
-            f"port-range = [{port}, {port + 6}]\nseeds = {seeds}\n"
+            f"port-range = [{port}, {port + 6}]\n"
+            f"{self._seeds((0, 1, 3))}\n"
             f"bootstrap = {str(bootstrap).lower()}\n"
             f"counts-as-loss = {str(has_disk).lower()}\n"
         )
@@ -244,9 +256,14 @@
                 assert time.monotonic() < end, "the fronts are not ready"
                 await asyncio.sleep(_POLL_S)
 
-    async def wait_served(self) -> None:
+    async def read(self, front: int) -> tuple[int, t.Any]:
+        """Reads the configuration back, as operators do."""
+        url = self.fleet.control_url(front, "/api/config/get")
+        return await self.call("GET", url)
+
+    async def wait_served(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Waits until a job is done, once there is a configuration."""
-        end = time.monotonic() + START_TIMEOUT_S
+        end = time.monotonic() + timeout_s
         number = 0
         while True:
             number += 1
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -49,6 +49,19 @@
     assert peers.log == ("c", 4, ("a", "b"))
 
 
+# CONFIG (review/1): the names of the voters were dropped while no leader was
+# known, so that voters that all started again never met without a seed.
+def test_replicas_of_a_log_without_a_leader_are_kept_and_asked():
+    peers = peer_table_lib.PeerTable((), random.Random(1))
+    peers.record_log(locating.LogRef("", 4, ("a", "b", "c")))
+    assert peers.log == ("", 0, ("a", "b", "c"))
+    assert peers.choose_targets("a", 1.0) == ["b", "c"]
+    peers.merge(_view("d", log=("", 5, ("x",))), 1.0)
+    assert peers.log.replicas == ("a", "b", "c")
+    peers.merge(_view("d", log=("b", 5, ("b", "c"))), 1.0)
+    assert peers.log == ("b", 5, ("b", "c"))
+
+
 def test_the_owner_is_the_latest_that_a_front_receives_heartbeats_from():
     peers = _peers()
     peers.merge(_view("a", owner=("x", 3), last_seen_ms=100), 1.0)
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -4,6 +4,11 @@
 
 import asyncio
 
+import aiohttp
+
+RECOVER_S = 12.0
+"""Within this time after the VMs are back, service has to be back."""
+
 SUCCESSOR_DELAY_S = 1.0
 CATCH_UP_S = 4.0
 """How long after its successor's start a removed VM still counts as lost."""
@@ -33,8 +38,40 @@
         assert (await _put_soon(client, 2, 2))[0] == 200
         fleet.fronts[0].kill()
         assert (await _put_soon(client, successor, 3))[0] == 200
-        url = client.fleet.control_url(2, "/api/config/get")
-        status, found = await client.call("GET", url)
+        status, found = await client.read(2)
         assert (status, found["version"]) == (200, 3)
 
     run_with_configured_fleet(act)
+
+
+# CONFIG, RECOVER (review/1): voters that all started again while the seeds were
+# down never connected to each other, though their disks hold their names.
+def test_voters_that_return_while_the_seeds_are_down_serve_again(
+    run_with_configured_fleet,
+):
+    async def act(client):
+        fleet = client.fleet
+        for front in fleet.fronts:
+            front.kill()
+        for front in fleet.fronts[:3]:
+            fleet.forbid_bootstrap(front)
+            fleet.set_seeds(front, [3])
+            front.start()
+        async with asyncio.timeout(RECOVER_S):
+            await _wait_read(client)
+            await client.wait_served()
+
+    run_with_configured_fleet(act)
+
+
+async def _wait_read(client):
+    """Waits until the configuration is read back."""
+    while True:
+        try:
+            status, found = await client.read(0)
+        except aiohttp.ClientError:
+            status = 0
+        if status == 200:
+            assert found["version"] == 1
+            return
+        await asyncio.sleep(0.1)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -22,12 +22,11 @@
         assert (await client.put(0, 1, **bad))[0] == 400
         assert (await client.put(1, 3))[0] == 200
         await client.wait_served()
-        url = client.fleet.control_url(2, "/api/config/get")
-        status, found = await client.call("GET", url)
+        status, found = await client.read(2)
         assert (status, found["version"]) == (200, 3)
         # An older version is acknowledged and changes nothing.
         assert (await client.put(2, 2))[0] == 200
-        assert (await client.call("GET", url))[1]["version"] == 3
+        assert (await client.read(2))[1]["version"] == 3
         assert await client.submit(3, "00000000000000ab") == (
             200,
             {"state": "completed"},
@@ -130,8 +129,7 @@
         for number in range(20):
             job = f"{0xDA40 + number:016x}"
             assert await client.submit(3, job) == (200, {"state": "completed"})
-        url = client.fleet.control_url(3, "/api/config/get")
-        assert (await client.call("GET", url))[0] == 503
+        assert (await client.read(3))[0] == 503
 
     run_with_fleet(act)
 
@@ -150,8 +148,7 @@
         assert await running == (200, {"state": "completed"})
         tasks = [task for task, _ in _list_starts(client) if job in task]
         assert sorted(tasks) == [f"{job}.0.0.0", f"{job}.0.0.1"]
-        url = client.fleet.control_url(other, "/api/config/get")
-        assert (await client.call("GET", url))[1]["version"] == 1
+        assert (await client.read(other))[1]["version"] == 1
 
     run_with_fleet(act)
 
