Ask the fronts seen last if none was seen recently

A front or side process that was cut off for over 60 s had forgotten every front; if its seeds had been replaced meanwhile, it could not come back.

Ruled out: that another process calls it. Fronts forget it after the same time, and nobody calls a side process that holds no lease.

Change: the twelve fronts seen last are contacts if no other was seen recently. Conclusion: test_the_fronts_seen_last_are_asked_if_none_was_seen_recently failed before (no name left).

--- a/src/skylarkcleat/discovery/peer_table.py
+++ b/src/skylarkcleat/discovery/peer_table.py
@@ -12,6 +12,10 @@
 RETENTION_S = 60.0
 """How long messages are still sent to a front that no peer has seen."""
 
+LAST_RESORT_FRONTS = 12
+"""How many of the fronts seen last are asked if none was seen recently: whoever
+was cut off for longer has no other way back if the seeds have been replaced."""
+
 RANDOM_TARGETS = 3
 
 SEARCH_CANDIDATES = 12
@@ -111,8 +115,11 @@
         ]
 
     def list_names(self, local_name: str, now: float) -> list[str]:
-        """Returns the names of the seeds and of all fronts seen recently."""
-        names = {ref.name for ref in self.list_fronts(now)}
+        """Returns the names of the seeds and of all fronts seen recently.
+
+        If no other front was, of those seen last.
+        """
+        names = self._list_contacts(local_name, now)
         return sorted({*self.seeds, *names} - {local_name, ""})
 
     def choose_search_targets(
@@ -135,22 +142,33 @@
             self.list_fronts(now), key=lambda ref: (ref.rank, ref.name)
         )
         names = [ref.name for ref in fronts]
-        names += [seed for seed in self.seeds if seed not in names]
+        others = (*self.seeds, *self._list_contacts(local_name, now))
+        names += [name for name in dict.fromkeys(others) if name not in names]
         names = [
             name
             for name in names
             if name not in (local_name, "")
             and (asked.get(name, 0) < SILENT_AFTER or self._answers(name, now))
         ]
-        others = names[SEARCH_CANDIDATES:]
-        count = min(len(others), RANDOM_TARGETS)
-        return names[:SEARCH_CANDIDATES] + self._random.sample(others, count)
+        rest = names[SEARCH_CANDIDATES:]
+        count = min(len(rest), RANDOM_TARGETS)
+        return names[:SEARCH_CANDIDATES] + self._random.sample(rest, count)
 
     def sample_names(self, now: float) -> list[str]:
         """Returns a few fronts, for a side process that looks for an owner."""
         names = self.list_names("", now)
         return self._random.sample(names, min(len(names), SEARCH_TARGETS))
 
+    def _list_contacts(self, local_name: str, now: float) -> list[str]:
+        """Returns the other fronts seen recently, or else those seen last."""
+        names = [ref.name for ref in self.list_fronts(now)]
+        recent = [name for name in names if name != local_name]
+        if recent:
+            return recent
+        others = [s for s in self._fronts.values() if s.ref.name != local_name]
+        others.sort(key=lambda seen: seen.at, reverse=True)
+        return [seen.ref.name for seen in others[:LAST_RESORT_FRONTS]]
+
     def _answers(self, name: str, now: float) -> bool:
         """Returns whether a front has answered a moment ago."""
         found = self.views.get(name)
@@ -162,7 +180,7 @@
         While no leader is known, the replicas of the log are among them: after
         a restart a replica knows them from its disk, and the seeds may be down.
         """
-        names = [ref.name for ref in self.list_fronts(now)]
+        names = self._list_contacts(local_name, now)
         others = self._random.sample(names, min(len(names), RANDOM_TARGETS))
         leader = self.log.leader
         holders = (leader,) if leader else self.log.replicas
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -101,6 +101,23 @@
     assert targets[1:12] == [f"f{n:02}" for n in range(12, 23)]
 
 
+# After a minute without contact a process had only its seeds left, and was cut
+# off for good if those had been replaced meanwhile.
+def test_the_fronts_seen_last_are_asked_if_none_was_seen_recently():
+    peers = peer_table_lib.PeerTable((), random.Random(1))
+    for number in range(20):
+        peers.record_front(_ref(f"f{number:02}"), float(number))
+    now = 19.0 + 2 * peer_table_lib.RETENTION_S
+    peers.record_front(_ref("me"), now)
+    last = [f"f{number:02}" for number in range(8, 20)]
+    assert peers.list_names("me", now) == last
+    assert set(peers.choose_targets("me", now)) < set(last)
+    assert set(peers.choose_search_targets("me", {}, now)) == set(last)
+    assert set(peers.sample_names(now)) == {"me"}
+    peers.record_front(_ref("f03"), now)
+    assert peers.list_names("me", now) == ["f03"]
+
+
 def _create_bootstrap(local_name, peers, empty=True, first=True):
     return bootstrap_lib.Bootstrap(local_name, empty and first, first, peers)
 
