Send a front again what was lost with its session

Cause: an owner counted the names of its side processes as sent to a front once they were queued, also if the session ended first, and a front the configuration that it had given to an owner, also if that owner started again without it. A successor with too few names starts tasks before it has heard those side processes.

Change: the end of a session forgets what was sent over it. Both tests failed before the change (they need `forget_sent`, which does nothing else).

--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -103,6 +103,12 @@
         known = self._owner_versions.get(owner, 0)
         self._owner_versions[owner] = max(known, version)
 
+    def forget_sent(self, front: str) -> None:
+        """Forgets what a front was sent: it may not have arrived."""
+        self._owner_versions.pop(front, None)
+        for peer in [each for each in self._sent_sides if each.name == front]:
+            del self._sent_sides[peer]
+
     def receive(
         self, peer: session_lib.Endpoint, message: owning.OwningMessage
     ) -> None:
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -229,6 +229,7 @@
 
     def _handle_event(self, event: event_lib.Event) -> None:
         if isinstance(event, event_lib.Lost):
+            self._election_task.forget_sent(event.peer.name)
             if event.peer.name == self._election.followed.name:
                 self._job_requests.resend()
             return
--- /dev/null
+++ b/tests/test_election_task.py
@@ -0,0 +1,65 @@
+"""What a front sends to others as the owner of the jobs."""
+
+from __future__ import annotations
+
+import random
+import types
+
+import pytest
+
+from skylarkcleat.discovery import election as election_lib
+from skylarkcleat.discovery import peer_table as peer_table_lib
+from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import election_task as election_task_lib
+from skylarkcleat.protocol import owning
+from skylarkcleat.wire import session as session_lib
+
+LOCAL = session_lib.Endpoint("front-1", 1)
+FOLLOWER = session_lib.Endpoint("front-2", 1)
+TERM = 5_000_000
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def task(sent):
+    """The election task of an owner with one side process."""
+    election = election_lib.Election(LOCAL, 0, 0.0, 0.0)
+    election.followed = election.followed._replace(name=LOCAL.name, term=TERM)
+    ownership = types.SimpleNamespace(
+        sides=("side-1",), handle_heartbeat_reply=lambda peer, message: None
+    )
+    return election_task_lib.ElectionTask(
+        LOCAL,
+        election,
+        peer_table_lib.PeerTable((), random.Random(1)),
+        configuration_cache_lib.ConfigurationCache(None),
+        ownership,
+        lambda name, message: sent.append((name, message)),
+    )
+
+
+# TWICE: names of side processes that were lost with a session were never sent
+# again, so that a successor started tasks before it had heard those sides.
+def test_side_names_are_sent_again_after_their_session_has_ended(task, sent):
+    reply = owning.OwnerHeartbeatReply(TERM, 1.0)
+    expected = (FOLLOWER.name, owning.SideNames(TERM, ("side-1",)))
+    task.receive(FOLLOWER, reply)
+    task.receive(FOLLOWER, reply)
+    assert sent == [expected]
+    task.forget_sent("front-3")
+    task.receive(FOLLOWER, reply)
+    assert sent == [expected]
+    task.forget_sent(FOLLOWER.name)
+    task.receive(FOLLOWER, reply)
+    assert sent == [expected, expected]
+
+
+# An owner that had started again was not sent the configuration that it lacks.
+def test_the_version_of_an_owner_is_forgotten_with_its_session(task):
+    task.record_owner_version(FOLLOWER.name, 7)
+    task.forget_sent(FOLLOWER.name)
+    assert task.find_owner_version(FOLLOWER.name) == 0
