Refuse bodies with bytes that are no UTF-8, wherever they stand

Cause: the decoder skips fields that are not used here without a look at their bytes, and the original bytes are stored. Ruled out, by a trial of 16 odd bodies: bad escapes, control characters and numbers, which are refused there already.

Change: each JSON body has to be UTF-8 as a whole. The same held for heartbeats of another writer, holds, answers and jobs: one place reads them all.

--- a/src/skylarkcleat/platform/json_body.py
+++ b/src/skylarkcleat/platform/json_body.py
@@ -32,6 +32,8 @@
         BodyError: It is not JSON, is nested too deeply or has another shape.
     """
     try:
+        # The decoder skips unknown fields without a look at their bytes.
+        body.decode("utf-8")
         return decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeError) as error:
         raise BodyError(str(error)) from error
--- a/tests/test_platform_odd_bodies.py
+++ b/tests/test_platform_odd_bodies.py
@@ -131,6 +131,21 @@
     check(decode, body, error)
 
 
+# CONFIG (review/5): a configuration that nobody could read was acknowledged and
+# in force, as the bytes that are no UTF-8 stood in a field that is not used here.
+@with_decoders
+@pytest.mark.parametrize("field", [b'"new": "\xff\xfe"', b'"\xff": 1'])
+def test_bytes_that_are_no_utf8_are_refused_in_unknown_fields_too(
+    decode, template, error, field
+):
+    body = json.dumps(template).encode().replace(b"{", b"{" + field + b",", 1)
+    if decode is decode_answer:
+        assert decode(body).reason == "unreadable answer"
+        return
+    with pytest.raises(error):
+        decode(body)
+
+
 def test_an_unreadable_answer_keeps_its_status():
     for odd in ODD_VALUES.values():
         assert decode_answer(odd).status == 200
