Found the log with a majority of the initial replicas

Cause: the first initial replica by name waited for an announcement of all others, without a limit, and the set was never changed.

Ruled out: that the survivors don't learn the set (both log front:founding), and that the successor could complete it (it may not found).

Change: consensus/founding.py, taken out of membership_changes. A majority is enough after 2 s; absent ones vote with an unknown disk and count as silent; a replica joins its own offer once another one has, and leaves a cluster without a leader if it has acknowledged nothing there.

Why it is safe: every cluster needs a majority of the same set, and whoever has acknowledged an entry stays, so two never both commit.

--- a/src/skylarkcleat/consensus/context.py
+++ b/src/skylarkcleat/consensus/context.py
@@ -75,6 +75,8 @@
         vote: Its current term and its vote in that term.
         snapshot: Its latest snapshot; None before it is in a cluster.
         log: The log entries that it holds in memory.
+        has_acknowledged: Whether it may have told a leader that it holds an
+            entry of its cluster.
         commit: The last position that it knows to be committed.
         applied: The last position that `take_ready` returned to be applied.
         leader: The leader of its current term, if known.
@@ -103,6 +105,7 @@
         self.log = entry_log_lib.EntryLog(
             stored.base_index, stored.base_term, stored.entries
         )
+        self.has_acknowledged = bool(stored.entries)
         self.commit = stored.snapshot.index if stored.snapshot else 0
         self.applied = self.commit
         self.leader: identity_lib.Identity | None = None
@@ -144,6 +147,27 @@
         """Whether this replica counts towards a majority."""
         return self.identity in self.membership.voters
 
+    @property
+    def may_leave_cluster(self) -> bool:
+        """Whether no majority of its cluster ever relied on this replica.
+
+        It has acknowledged no entry, and as a leader it has committed none.
+        """
+        is_first = self.snapshot is not None and self.snapshot.index == 0
+        is_leader = self.role is Role.LEADER
+        is_relied_on = self.has_acknowledged or self.commit > 0
+        return is_first and not is_leader and not is_relied_on
+
+    def leave_cluster(self) -> None:
+        """Forgets the cluster, but not its vote.
+
+        The disk keeps the cluster until it joins another one.
+        """
+        self.snapshot = None
+        self.log = entry_log_lib.EntryLog(0, 0)
+        self.role = Role.FOLLOWER
+        self.leader = None
+
     def send_now(
         self, receiver: identity_lib.Identity, message: message_lib.Message
     ) -> None:
--- a/src/skylarkcleat/consensus/follower.py
+++ b/src/skylarkcleat/consensus/follower.py
@@ -39,6 +39,7 @@
         held = tuple(e for e in request.entries if e.index > base)
         new_entries = context.log.find_new_entries(held)
         if new_entries:
+            context.has_acknowledged = True
             context.save_entries(new_entries)
         last = request.previous_index + len(request.entries)
         context.commit = max(context.commit, min(request.commit, last))
--- a/src/skylarkcleat/consensus/identity.py
+++ b/src/skylarkcleat/consensus/identity.py
@@ -18,3 +18,8 @@
 
     name: str
     disk: str
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the disk is known; no replica answers to an unknown one."""
+        return bool(self.disk)
--- a/src/skylarkcleat/consensus/membership_changes.py
+++ b/src/skylarkcleat/consensus/membership_changes.py
@@ -7,13 +7,13 @@
 from skylarkcleat.consensus import context as context_lib
 from skylarkcleat.consensus import entry as entry_lib
 from skylarkcleat.consensus import follower as follower_lib
+from skylarkcleat.consensus import founding as founding_lib
 from skylarkcleat.consensus import identity as identity_lib
 from skylarkcleat.consensus import leadership as leadership_lib
 from skylarkcleat.consensus import membership as membership_lib
 from skylarkcleat.consensus import membership_plan as membership_plan_lib
 from skylarkcleat.consensus import message as message_lib
 from skylarkcleat.consensus import proposal as proposal_lib
-from skylarkcleat.consensus import snapshot as snapshot_lib
 
 REMOVED_ELECTIONS = 2
 """A replica that hears no leader for this many election timeouts may have been
@@ -23,12 +23,11 @@
 class MembershipChanges:
     """A replica's part in changes of the membership.
 
-    An empty replica announces itself. The initial replica whose name sorts
-    first bootstraps a cluster, but only while every other initial replica
-    announces that it is empty too and may bootstrap one. Otherwise the
-    leader of the cluster adds it as a learner. Where `Limits.voters` says how
-    many replicas should vote, a replica that was removed announces itself too
-    once no leader contacts it. `MembershipPlan` decides who votes.
+    An empty replica announces itself. It takes part in the founding of a
+    cluster if it may, or the leader of one adds it as a learner. Where
+    `Limits.voters` says how many replicas should vote, a replica that was
+    removed announces itself too once no leader contacts it. `MembershipPlan`
+    decides who votes.
 
     Attributes:
         last_change: The latest change that this replica made as the leader.
@@ -42,13 +41,13 @@
     ) -> None:
         self._context = context
         self._names = frozenset(names)
-        self._initial_names = self._names
-        self._may_bootstrap = may_bootstrap
+        self._founding = founding_lib.Founding(
+            context, self._names, may_bootstrap
+        )
         self._announced_at = float("-inf")
         self._is_leaving = False
         self._leaving: dict[identity_lib.Identity, float] = {}
         self.last_change: membership_plan_lib.Change | None = None
-        self._empty: dict[str, tuple[identity_lib.Identity, float]] = {}
 
     def add_name(self, name: str) -> None:
         """Allows a replica that was discovered at run time to join."""
@@ -56,8 +55,7 @@
 
     def allow_bootstrap(self, initial_names: t.Iterable[str]) -> None:
         """Allows this replica to bootstrap a cluster with other empty ones."""
-        self._initial_names = frozenset(initial_names)
-        self._may_bootstrap = True
+        self._founding.allow(initial_names)
 
     def begin_leaving(self) -> None:
         """Tells the leader from now on that this replica is about to stop."""
@@ -69,12 +67,11 @@
         if context.now < self._announced_at + context.limits.announce_s:
             return
         self._announced_at = context.now
-        is_empty = context.snapshot is None
         if self._is_leaving:
             self._announce_leaving()
-        elif is_empty and self._may_bootstrap and self._is_bootstrap_due():
-            follower.install(self._create_snapshot())
-        elif is_empty or self._seems_removed():
+            return
+        self._founding.advance(follower)
+        if context.snapshot is None or self._seems_removed():
             self._announce_presence()
 
     def _announce_leaving(self) -> None:
@@ -84,8 +81,7 @@
 
     def _announce_presence(self) -> None:
         context = self._context
-        is_empty = context.snapshot is None
-        message = message_lib.Announcement(self._may_bootstrap and is_empty)
+        message = message_lib.Announcement(self._founding.may_take_part)
         for name in sorted(self._names - {context.identity.name}):
             receiver = identity_lib.Identity(name, "")
             context.send_after_sync(receiver, message)
@@ -115,28 +111,23 @@
         """
         context = self._context
         if context.snapshot is None:
-            if announcement.may_bootstrap:
-                self._empty[sender.name] = (sender, context.now)
+            self._founding.handle_announcement(sender, announcement)
             return
         membership = context.membership
         at_bootstrap = context.snapshot.index == 0
         if at_bootstrap and sender in context.snapshot.membership.voters:
-            context.send_after_sync(
-                sender, message_lib.Bootstrap(context.snapshot)
-            )
+            self._founding.send_bootstrap(sender, context.snapshot)
         elif sender not in membership.replicas:
             self._add_learner(sender, leadership)
 
     def handle_bootstrap(
         self,
+        sender: identity_lib.Identity,
         bootstrap: message_lib.Bootstrap,
         follower: follower_lib.Follower,
     ) -> None:
         """Joins a new cluster in which this empty replica is a voter."""
-        context = self._context
-        voters = bootstrap.snapshot.membership.voters
-        if context.snapshot is None and context.identity in voters:
-            follower.install(bootstrap.snapshot)
+        self._founding.join(sender, bootstrap.snapshot, follower)
 
     def handle_leaving(self, sender: identity_lib.Identity) -> None:
         """Records that a replica is about to stop."""
@@ -170,7 +161,7 @@
         context = self._context
         announced_at = self._leaving.get(replica, float("-inf"))
         return membership_plan_lib.Standing(
-            leadership.is_silent(replica),
+            leadership.is_silent(replica) or not replica.is_known,
             context.now - announced_at < context.limits.silent_s,
             self._has_caught_up(leadership, replica),
         )
@@ -215,24 +206,6 @@
             )
         return self._append_membership(leadership, membership.remove(replica))
 
-    def _is_bootstrap_due(self) -> bool:
-        context = self._context
-        recent = context.now - 4 * context.limits.announce_s
-        others = self._initial_names - {context.identity.name}
-        announced = {n for n, (_, at) in self._empty.items() if at >= recent}
-        return announced >= others and context.identity.name == min(
-            self._initial_names
-        )
-
-    def _create_snapshot(self) -> snapshot_lib.Snapshot:
-        context = self._context
-        voters = [context.identity]
-        for name in sorted(self._initial_names - {context.identity.name}):
-            voters.append(self._empty[name][0])
-        cluster = f"{context.identity.disk}-{context.random.getrandbits(64):x}"
-        membership = membership_lib.Membership(tuple(voters))
-        return snapshot_lib.Snapshot(cluster, 0, 0, membership)
-
     def _add_learner(
         self,
         sender: identity_lib.Identity,
--- a/src/skylarkcleat/consensus/replica.py
+++ b/src/skylarkcleat/consensus/replica.py
@@ -322,7 +322,9 @@
         elif isinstance(message, message_lib.Leaving):
             self._membership_changes.handle_leaving(sender)
         elif isinstance(message, message_lib.Bootstrap):
-            self._membership_changes.handle_bootstrap(message, self._follower)
+            self._membership_changes.handle_bootstrap(
+                sender, message, self._follower
+            )
         elif isinstance(message, message_lib.Campaign):
             self._handle_campaign(message)
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -57,6 +57,10 @@
         """Whether the process has ended by itself."""
         return self._process.poll() is not None
 
+    def has_logged(self, kind: str) -> bool:
+        """Whether it has written a line of a type."""
+        return self.log.exists() and f'"{kind}"' in self.log.read_text()
+
     def signal(self, number: int) -> None:
         self._process.send_signal(number)
 
@@ -300,13 +304,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(folder: pathlib.Path, ip_block: int):
+async def open_fleet(
+    folder: pathlib.Path, ip_block: int, is_awaited: bool = True
+):
+    """Starts a fleet, and waits until its fronts are ready."""
     async with contextlib.AsyncExitStack() as stack:
         fleet = Fleet(folder, ip_block)
         await fleet.open(stack)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         client = Client(fleet, session)
-        await client.wait_ready()
+        if is_awaited:
+            await client.wait_ready()
         yield client
 
 
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -5,6 +5,9 @@
 import asyncio
 
 import aiohttp
+import pytest
+
+from tests import platform_fleet
 
 RECOVER_S = 12.0
 """Within this time after the VMs are back, service has to be back."""
@@ -64,14 +67,38 @@
     run_with_configured_fleet(act)
 
 
-async def _wait_read(client):
-    """Waits until the configuration is read back."""
+async def _wait_read(client, front=0):
+    """Waits until the configuration is read back at a front."""
     while True:
         try:
-            status, found = await client.read(0)
+            status, found = await client.read(front)
         except aiohttp.ClientError:
             status = 0
         if status == 200:
             assert found["version"] == 1
             return
         await asyncio.sleep(0.1)
+
+
+# CONFIG (review/2): a front with a disk was lost just after it was agreed who
+# founds the log, and replaced; no log was ever founded.
+@pytest.mark.parametrize("number", [0, 2])
+def test_a_front_lost_at_the_first_start_keeps_nobody_from_a_log(
+    number, tmp_path, worker_block
+):
+    async def main():
+        open_fleet = platform_fleet.open_fleet
+        async with open_fleet(tmp_path, worker_block, False) as client:
+            fleet = client.fleet
+            other = fleet.fronts[1]
+            while not other.has_logged("front:founding"):
+                await asyncio.sleep(0.005)
+            fleet.fronts[number].kill()
+            await asyncio.sleep(SUCCESSOR_DELAY_S)
+            successor = fleet.add_front()
+            async with asyncio.timeout(CATCH_UP_S + RECOVER_S):
+                status, _ = await client.put(1, 1)
+                assert status == 200
+                await _wait_read(client, successor)
+
+    asyncio.run(main())
