Follow seeds that change in the settings file while a process runs

A process that started while they were down never found the others, also once its settings named live ones; the file may change without a signal.

Who decides at the very first start stays as it was.

Conclusion: test_a_side_process_follows_seeds_that_change_while_it_runs (real processes) failed before.

--- a/src/skylarkcleat/discovery/bootstrap.py
+++ b/src/skylarkcleat/discovery/bootstrap.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import typing as t
-
 from skylarkcleat.discovery import peer_table as peer_table_lib
 
 STABLE_S = 1.0
@@ -29,6 +27,7 @@
 
     Attributes:
         promised: The initial replicas that this front promised to accept.
+        seeds: Those of the very first start, who decide; later ones may differ.
     """
 
     def __init__(
@@ -39,6 +38,7 @@
         peers: peer_table_lib.PeerTable,
     ) -> None:
         self.promised: tuple[str, ...] = ()
+        self.seeds = peers.seeds
         self._local_name = local_name
         self._may_bootstrap = may_bootstrap
         self._may_promise = may_promise
@@ -73,7 +73,7 @@
 
         Empty if there is no such set, or if this front isn't in it.
         """
-        majority = len(self._peers.seeds) // 2 + 1
+        majority = len(self.seeds) // 2 + 1
         promises = self._list_promises()
         for founders in set(promises):
             is_mine = self._may_bootstrap and self._local_name in founders
@@ -91,8 +91,7 @@
         known: dict[str, tuple[str, ...]] = dict(self._peers.promises)
         if self.promised:
             known[self._local_name] = self.promised
-        seeds: t.Iterable[str] = self._peers.seeds
-        return [known[seed] for seed in seeds if seed in known]
+        return [known[seed] for seed in self.seeds if seed in known]
 
     def _list_candidates(self, now: float) -> tuple[str, ...]:
         names = [
--- a/src/skylarkcleat/discovery/peer_table.py
+++ b/src/skylarkcleat/discovery/peer_table.py
@@ -6,6 +6,8 @@
 import random
 import typing as t
 
+import eliot
+
 from skylarkcleat.protocol import locating
 from skylarkcleat.scheduling import lease
 
@@ -61,6 +63,12 @@
         self._random = generator
         self._fronts: dict[str, _SeenFront] = {}
 
+    def update_seeds(self, seeds: t.Sequence[str]) -> None:
+        """Replaces the seeds; those before are fronts like others."""
+        if self.seeds != tuple(seeds):
+            self.seeds = tuple(seeds)
+            eliot.log_message("process:seeds", seeds=list(seeds))
+
     def record_front(self, ref: locating.FrontRef, now: float) -> None:
         """Records a front, unless a later sign of it is recorded."""
         at = now - ref.last_seen_ms / 1000
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -200,7 +200,7 @@
         proposal = self._bootstrap.find_proposal(now)
         if not proposal:
             return
-        for seed in self._peers.seeds:
+        for seed in self._bootstrap.seeds:
             if seed == self._local_name:
                 self._bootstrap.promise(proposal)
             else:
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -25,6 +25,7 @@
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.front import service as service_lib
 from skylarkcleat.front import targets
+from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
@@ -50,7 +51,7 @@
 _DRAIN_POLL_S = 0.05
 
 
-class FrontProcess(service_lib.FrontService):
+class FrontProcess(service_lib.FrontService, seed_watch.SeedListener):
     """Everything that a front does except for its HTTP servers."""
 
     def __init__(
@@ -136,6 +137,10 @@
             tasks.append(self._log.wait())
         return tasks
 
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replaces the seeds that it asks for other fronts."""
+        self._peers.update_seeds(seeds)
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
--- a/src/skylarkcleat/platform/front_daemon.py
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 
+from skylarkcleat import supervision
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
 from skylarkcleat.consensus import limits
@@ -16,6 +17,7 @@
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import ingress as ingress_lib
 from skylarkcleat.platform import listening
+from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 
 LOG_LIMITS = limits.Limits(heartbeat_s=0.06, election_s=0.3)
@@ -43,7 +45,12 @@
         ):
             runner = listening.create_server_runner(handler)
             await listening.listen(stack, address, runner)
-        async with daemon.run_tasks(process.list_tasks(), stopping):
+        watch = seed_watch.create_seed_watch(process)
+        tasks = [
+            *process.list_tasks(),
+            supervision.keep_running("watch the seeds", watch.run),
+        ]
+        async with daemon.run_tasks(tasks, stopping):
             await process.drain()
 
 
--- a/src/skylarkcleat/platform/side_daemon.py
+++ b/src/skylarkcleat/platform/side_daemon.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 
+from skylarkcleat import supervision
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import listening
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
+from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.side import process as side_process
 
@@ -26,5 +28,10 @@
         app = runner_reports.create_reports_app(process)
         runner = listening.create_app_runner(app)
         await listening.listen(stack, settings.listen.control, runner)
-        async with daemon.run_tasks(process.list_tasks(), stopping):
+        watch = seed_watch.create_seed_watch(process)
+        tasks = [
+            *process.list_tasks(),
+            supervision.keep_running("watch the seeds", watch.run),
+        ]
+        async with daemon.run_tasks(tasks, stopping):
             await process.close()
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -11,6 +11,7 @@
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import runner_reports
+from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
@@ -31,7 +32,7 @@
 one was not the runner's."""
 
 
-class SideProcess(runner_reports.RunnerListener):
+class SideProcess(runner_reports.RunnerListener, seed_watch.SeedListener):
     """Everything that a side process does except for its HTTP server."""
 
     def __init__(
@@ -93,6 +94,10 @@
             self._registration.renew()
         state.wake.set()
 
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replaces the seeds that it asks for the owner."""
+        self._registration.update_seeds(seeds)
+
     def handle_deregistration(self, runner: str) -> None:
         """Marks the runner as draining once it deregisters."""
         known = self._state.run_table.runner
--- a/src/skylarkcleat/side/registration.py
+++ b/src/skylarkcleat/side/registration.py
@@ -48,6 +48,10 @@
         self._targets: list[str] = []
         self._gossiped_at = 0.0
 
+    def update_seeds(self, seeds: t.Sequence[str]) -> None:
+        """Replaces the seeds that are asked for the owner."""
+        self._peers.update_seeds(seeds)
+
     async def run(self) -> None:
         """Renews the lease, or looks for an owner while there is none."""
         while True:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -176,3 +176,14 @@
         if found:
             founders.add(found)
     assert len(founders) <= 1
+
+
+# The three who decide at the first start must stay the same for all.
+def test_seeds_that_change_later_have_no_part_in_the_first_start():
+    peers = _peers()
+    bootstrap = _create_bootstrap("10.0.0.1", peers)
+    peers.update_seeds(("10.0.0.7", "10.0.0.8"))
+    for seed in SEEDS[:2]:
+        peers.merge(_view(seed, SEEDS), 0.0)
+    assert bootstrap.find_initial_replicas() == SEEDS
+    assert "10.0.0.8" in peers.choose_targets("10.0.0.1", 0.0)
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -102,3 +102,23 @@
                 await _wait_read(client, successor)
 
     asyncio.run(main())
+
+
+# A side process that started while its seeds were down never found the owner,
+# though its settings named others by then.
+def test_a_side_process_follows_seeds_that_change_while_it_runs(
+    run_with_configured_fleet,
+):
+    async def act(client):
+        fleet = client.fleet
+        for side in fleet.sides:
+            side.kill()
+            fleet.set_seeds(side, [9])
+            side.start()
+        await asyncio.sleep(CATCH_UP_S)
+        assert (await client.submit(0, f"{0xAB:016x}"))[0] == 503
+        for side in fleet.sides:
+            fleet.set_seeds(side, [0, 1])
+        await client.wait_served(RECOVER_S)
+
+    run_with_configured_fleet(act)
