--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -200,6 +201,7 @@
     def __init__(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
         self.fleet = fleet
         self._session = session
+        self._numbers = itertools.count()
 
     async def call(
         self, method: str, url: str, body: t.Any = None, host: str = HOST
@@ -268,10 +270,9 @@
     async def wait_served(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Waits until a job is done, once there is a configuration."""
         end = time.monotonic() + timeout_s
-        number = 0
         while True:
-            number += 1
-            job = f"{0xABC0000 + number:016x}"
+            # An owner remembers jobs that have ended, and answers them at once.
+            job = f"{0xABC0000 + next(self._numbers):016x}"
             with contextlib.suppress(aiohttp.ClientError):
                 status, body = await self.submit(0, job)
                 if status == 200 and body == {"state": "completed"}:
