--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -7,9 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
-import contextlib
-import contextvars
 import itertools
 import random
 import typing as t
@@ -17,23 +14,17 @@
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.configuration import content
 from skylarkcleat.front import process as front_process
-from skylarkcleat.platform import runner_body
-from skylarkcleat.platform import runner_client
 from skylarkcleat.platform import settings as settings_lib
-from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.side import process as side_process
-from skylarkcleat.wire import event as event_lib
-from skylarkcleat.wire import session as session_lib
+from tests import ownership_network as network_lib
+from tests import ownership_runner as runner_lib
 from tests import virtual_loop
 
-UPSTREAM = "desk"
-QUEUE = content.Queue("q", "h", "/p/", UPSTREAM, 1500, 60, 0, 4, 1.6)
+QUEUE = content.Queue("q", "h", "/p/", runner_lib.UPSTREAM, 1500, 60, 0, 4, 1.6)
 RESEND_S = 1.3
-LOST_AFTER_S = 5.0
 CALLER_TIMEOUT_S = 3.0
 HEARTBEAT_S = 0.5
-RUNNER_CPU = 8000
 RECOVERY_S = 12.0
 """The users' bound from the return of the VMs until jobs are served again."""
 TAKEOVER_S = 3.0
@@ -63,303 +54,6 @@
 
 NO_FAULTS = Faults(gap_s=1e9, unanswered_fraction=0.0, length_s=3.0)
 
-WRONG_INCARNATION = runner_body.Answer(runner_client.OTHER_INSTANCE, "")
-
-
-class Run(t.NamedTuple):
-    """A run of a task, as recorded at its runner."""
-
-    task: str
-    run: int
-    runner: str
-    started_at: float
-    ended_at: float
-
-
-class Network:
-    """Carries messages between processes, in order for each pair."""
-
-    def __init__(self, generator: random.Random) -> None:
-        self.hubs: dict[str, Hub] = {}
-        self.blocked_until: dict[tuple[str, str], float] = {}
-        self.sent: collections.Counter[str] = collections.Counter()
-        self._random = generator
-        self._arrivals: dict[tuple[str, str], float] = {}
-
-    def block(self, one: str, other: str, until: float) -> None:
-        """Blocks messages from one process to another until a time."""
-        self.blocked_until[(one, other)] = max(
-            self.blocked_until.get((one, other), 0.0), until
-        )
-
-    def send(self, hub: Hub, name: str, incarnation: int, message: t.Any):
-        """Delivers a message, or reports its loss to the sender later."""
-        self.sent[type(message).__name__] += 1
-        loop = asyncio.get_running_loop()
-        pair = (hub.local.name, name)
-        sent_at = max(loop.time(), self._arrivals.get(pair, 0.0) - 0.05)
-        at = sent_at + self._random.choice((0.0003, 0.002, 0.002, 0.03))
-        unblocked_at = self.blocked_until.get(pair, 0.0)
-        if unblocked_at > at:
-            if unblocked_at - at > LOST_AFTER_S:
-                lost = event_lib.Lost(session_lib.Endpoint(name, 0), "cut")
-                loop.call_at(at + LOST_AFTER_S, hub.events.put_nowait, lost)
-                return
-            at = unblocked_at + self._random.uniform(0.0, 0.2)
-        at = max(at, self._arrivals.get(pair, 0.0) + 1e-6)
-        self._arrivals[pair] = at
-        sender = hub.local
-        loop.call_at(at, self._deliver, sender, name, incarnation, message)
-
-    def _deliver(
-        self,
-        sender: session_lib.Endpoint,
-        name: str,
-        incarnation: int,
-        message: t.Any,
-    ) -> None:
-        hub = self.hubs.get(name)
-        if hub is None or incarnation not in (0, hub.local.incarnation):
-            return
-        hub.events.put_nowait(event_lib.Received(sender, message))
-
-
-class Hub:
-    """The simulated hub of a process."""
-
-    def __init__(self, network: Network, process: virtual_loop.Process):
-        self.local = session_lib.Endpoint(process.name, process.incarnation)
-        self.events: asyncio.Queue = asyncio.Queue()
-        self._network = network
-        network.hubs[process.name] = self
-
-    def send(self, peer: session_lib.Endpoint, message: t.Any) -> None:
-        self._network.send(self, peer.name, peer.incarnation, message)
-
-    def send_any(self, name: str, address: str, message: t.Any) -> None:
-        del address
-        self._network.send(self, name, 0, message)
-
-    def disconnect(self, name: str) -> None:
-        del name
-
-    def disconnect_others(self, name: str) -> None:
-        del name
-
-
-class Runner:
-    """A simulated runner and its side process's client for it."""
-
-    def __init__(self, world: World, number: int) -> None:
-        self.id = f"i-{number}"
-        self.runs: dict[str, tuple[int, float]] = {}
-        self._world = world
-        self._random = world.random
-        self._drift = self._random.choice((0.98, 1.0))
-        self.unresponsive_until = 0.0
-        self.down_until = 0.0
-        self._lost_answers = 0
-        self._lost_at_epoch: collections.Counter[int] = collections.Counter()
-        self._life = 1
-        self._begun_at = 0.0
-        self._born_ms = 1
-        self._fence = 0
-        self._last_ended_runs: dict[str, int] = {}
-        self._ends: list[leasing.End] = []
-        self._number = 0
-        self._deadline = 0.0
-        self._sequence = 0
-        self._changed = asyncio.Event()
-        self._context = contextvars.copy_context()
-
-    def lose_answers(self, count: int) -> None:
-        """Loses the first answers to holds under each later lease."""
-        self._lost_at_epoch[self._fence] = count
-        self._lost_answers = count
-
-    def _schedule(self, delay_s: float, act: t.Callable, *arguments: t.Any):
-        """Schedules a call that also runs if the side process has died."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, act, *arguments, context=self._context)
-
-    def describe(self) -> runner_body.Heartbeat:
-        self._sequence += 1
-        runner = leasing.Runner(
-            self.id,
-            self._born_ms,
-            UPSTREAM,
-            RUNNER_CPU,
-            65536,
-            0,
-            ("a", "r1"),
-            False,
-        )
-        return runner_body.Heartbeat(runner, "", self._sequence, 0)
-
-    async def start(
-        self, order: leasing.Start, deadline_ms: int, runner: str
-    ) -> runner_body.Answer:
-        if runner != self.id:
-            return WRONG_INCARNATION
-        return await self._call(lambda: self._start(order, deadline_ms))
-
-    async def stop(
-        self, order: leasing.Stop, runner: str
-    ) -> runner_body.Answer:
-        if runner != self.id:
-            return WRONG_INCARNATION
-        return await self._call(lambda: self._stop(order))
-
-    async def hold(self, epoch, last_seen, deadline_ms, wait_ms, runner):
-        if self._is_down:
-            await asyncio.sleep(0.0005)
-            return None
-        if runner not in ("", self.id):
-            await asyncio.sleep(0.0005)
-            return runner_body.OTHER_RUNNER
-        if self._is_unanswered():
-            await asyncio.sleep(runner_client.PROBE_TIMEOUT_S)
-            return None
-        life = self._life
-        await asyncio.sleep(0.0005)
-        if epoch < self._fence:
-            return runner_body.FENCED
-        if self._lost_at_epoch[epoch] < self._lost_answers:
-            self._lost_at_epoch[epoch] += 1
-            await asyncio.sleep(runner_client.PROBE_TIMEOUT_S)
-            return None
-        self._fence = epoch
-        self._extend_deadline(deadline_ms)
-        self._ends = [end for end in self._ends if end.number > last_seen]
-        if wait_ms and not self._ends:
-            self._changed.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
-        if life != self._life:
-            return None
-        self._end_expired()
-        running = tuple((k, run) for k, (run, _) in self.runs.items())
-        return runner_body.HoldAnswer(
-            self._born_ms, self._clock(), running, tuple(self._ends)
-        )
-
-    @property
-    def _is_down(self) -> bool:
-        """Whether nothing listens on the runner's port."""
-        return self._world.now < self.down_until
-
-    async def _call(self, act: t.Callable[[], runner_body.Answer]):
-        if self._is_down:
-            return runner_body.Answer(runner_client.UNANSWERED, "")
-        if self._is_unanswered():
-            if self._random.random() < 0.5:
-                late_s = self._random.uniform(0.2, 4.0)
-                self._schedule(late_s, act)
-            await asyncio.sleep(runner_client.ORDER_TIMEOUT_S)
-            return runner_body.Answer(runner_client.UNANSWERED, "")
-        await asyncio.sleep(0.0005)
-        return act()
-
-    def _is_unanswered(self) -> bool:
-        """Returns whether the current call gets no answer."""
-        if self._world.now < self.unresponsive_until:
-            return True
-        return self._random.random() < self._world.faults.unanswered_fraction
-
-    def _clock(self) -> int:
-        return int((self._world.now - self._begun_at) * self._drift * 1000)
-
-    def _extend_deadline(self, deadline_ms: int | None) -> None:
-        if deadline_ms is not None:
-            latest = self._clock() + 1000
-            self._deadline = max(self._deadline, min(deadline_ms, latest))
-
-    def _start(
-        self, order: leasing.Start, deadline_ms: int
-    ) -> runner_body.Answer:
-        self._end_expired()
-        if order.epoch < self._fence:
-            return runner_body.Answer(409, "fence")
-        self._fence = order.epoch
-        if deadline_ms < self._clock():
-            return runner_body.Answer(409, "late")
-        self._extend_deadline(deadline_ms)
-        if order.run <= self._last_ended_runs.get(order.task, 0):
-            return runner_body.Answer(409, "old")
-        if order.task not in self.runs:
-            self.runs[order.task] = (order.run, self._world.now)
-            took_s = self._world.find_work(order.task)
-            done = leasing.Ending.DONE
-            self._schedule(took_s, self._end, order.task, order.run, done)
-            self._schedule_expiry()
-        return runner_body.Answer(200, "")
-
-    def _stop(self, order: leasing.Stop) -> runner_body.Answer:
-        if order.epoch < self._fence:
-            return runner_body.Answer(409, "fence")
-        last_ended = self._last_ended_runs.get(order.task, 0)
-        self._last_ended_runs[order.task] = max(last_ended, order.run)
-        stopped = leasing.Ending.STOPPED
-        self._schedule(0.05, self._end, order.task, order.run, stopped)
-        return runner_body.Answer(200, "")
-
-    def lose_runs(self) -> None:
-        """Ends what runs, without a record that callers could read."""
-        now = self._world.now
-        for task, (run, started_at) in self.runs.items():
-            self._world.runs.append(Run(task, run, self.id, started_at, now))
-        self.runs.clear()
-
-    def crash(self, down_s: float, keeps_id: bool = False) -> None:
-        """Ends what runs; the runner starts again and remembers nothing."""
-        self.lose_runs()
-        self.down_until = self._world.now + down_s
-        self._life += 1
-        self._begun_at = self.down_until
-        self._born_ms = round(self.down_until * 1000) + 2
-        if not keeps_id:
-            self.id = f"{self.id.partition('+')[0]}+{self._born_ms}"
-        self._changed.set()
-        self._fence = 0
-        self._deadline = 0.0
-        self._sequence = 0
-        self._number = 0
-        self._ends.clear()
-        self._last_ended_runs.clear()
-
-    def fence_off(self, token: int) -> None:
-        """Refuses all calls with a lower token from now on."""
-        self._fence = token
-
-    def _schedule_expiry(self) -> None:
-        """Ends what runs once the deadline has passed."""
-        left_s = (self._deadline - self._clock()) / 1000 / self._drift
-        self._schedule(max(left_s, 0.0) + 0.001, self._check_expiry)
-
-    def _check_expiry(self) -> None:
-        self._end_expired()
-        if self.runs:
-            self._schedule_expiry()
-
-    def _end_expired(self) -> None:
-        if self._clock() > self._deadline:
-            for task, (run, _) in list(self.runs.items()):
-                self._end(task, run, leasing.Ending.LAPSED)
-
-    def _end(self, task: str, run: int, ending: leasing.Ending) -> None:
-        known = self.runs.get(task)
-        if known is None or known[0] != run:
-            return
-        del self.runs[task]
-        self._last_ended_runs[task] = max(
-            self._last_ended_runs.get(task, 0), run
-        )
-        now = self._world.now
-        self._world.runs.append(Run(task, run, self.id, known[1], now))
-        self._number += 1
-        self._ends.append(leasing.End(self._number, task, run, ending))
-        self._changed.set()
-
 
 class World:
     """Fronts, side processes, runners and callers."""
@@ -375,7 +69,7 @@
         self.random = random.Random(seed)
         self.faults = faults
         self.jobs_per_s = jobs_per_s
-        self.runs: list[Run] = []
+        self.runs: list[runner_lib.Run] = []
         self.verdicts: dict[str, list[scheduling.Verdict]] = {}
         self.late_verdicts: list[scheduling.Verdict | None] = []
         self.takeover_s = float("inf")
@@ -384,6 +78,11 @@
         self._fronts = [f"front-{n}" for n in range(fronts)]
         self._sides = [f"side-{n}" for n in range(sides)]
 
+    @property
+    def unanswered_fraction(self) -> float:
+        """The fraction of the runners' calls that get no answer."""
+        return self.faults.unanswered_fraction
+
     @property
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -541,11 +240,11 @@
         return next(name for name, front in fronts if front._election.is_owner)
 
     async def _open(self) -> None:
-        self.network = Network(self.random)
+        self.network = network_lib.Network(self.random)
         self.processes: dict[str, virtual_loop.Process] = {}
         self.fronts: dict[str, front_process.FrontProcess] = {}
         self.runners = {
-            side: Runner(self, number)
+            side: runner_lib.Runner(self, number)
             for number, side in enumerate(self._sides)
         }
         for name in [*self._fronts, *self._sides]:
@@ -558,7 +257,7 @@
         process.context.run(self._create, name, process)
 
     def _create(self, name: str, process: virtual_loop.Process) -> None:
-        hub = Hub(self.network, process)
+        hub = network_lib.Hub(self.network, process)
         settings = settings_lib.Settings(
             node=name,
             ip=name,
@@ -579,7 +278,7 @@
             process.spawn(task)
 
     async def _report(
-        self, side: side_process.SideProcess, runner: Runner
+        self, side: side_process.SideProcess, runner: runner_lib.Runner
     ) -> None:
         while True:
             if self.now >= runner.down_until:
@@ -740,7 +439,7 @@
 
 def _create_configuration(version: int) -> content.Configuration:
     return content.Configuration(
-        version, (QUEUE,), (content.Upstream(UPSTREAM),)
+        version, (QUEUE,), (content.Upstream(runner_lib.UPSTREAM),)
     )
 
 
@@ -840,9 +539,11 @@
     )
 
 
-def list_overlaps(world: World) -> list[tuple[Run, Run]]:
+def list_overlaps(
+    world: World,
+) -> list[tuple[runner_lib.Run, runner_lib.Run]]:
     """Returns pairs of runs of one task that ran at the same time."""
-    by_task: dict[str, list[Run]] = {}
+    by_task: dict[str, list[runner_lib.Run]] = {}
     for run in sorted(world.runs, key=lambda run: run.started_at):
         by_task.setdefault(run.task, []).append(run)
     return [
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarkcleat.protocol import scheduling
+from tests import ownership_runner
 from tests import ownership_world as world_lib
 
 SEEDS = (*range(24), 29)
@@ -20,7 +21,7 @@
 def test_no_task_runs_twice_at_the_same_time(world):
     assert not world_lib.list_overlaps(world)
     assert not world_lib.list_false_refusals(world)
-    assert world_lib.find_peak_cpu(world) <= world_lib.RUNNER_CPU
+    assert world_lib.find_peak_cpu(world) <= ownership_runner.CPU
 
 
 def test_service_returns_after_the_last_fault(world):
@@ -60,7 +61,7 @@
     world = world_lib.simulate_restarts_under_one_id(seed, 20.0, monkeypatch)
     assert not world_lib.list_overlaps(world)
     assert not world_lib.list_false_refusals(world)
-    assert world_lib.find_peak_cpu(world) <= world_lib.RUNNER_CPU
+    assert world_lib.find_peak_cpu(world) <= ownership_runner.CPU
     assert set(world.late_verdicts) == {scheduling.Verdict.COMPLETED}
 
 
--- a/tests/test_ownership_variants.py
+++ b/tests/test_ownership_variants.py
@@ -15,6 +15,7 @@
 from skylarkcleat.scheduling import starts as starts_lib
 from skylarkcleat.side import orders as orders_lib
 from skylarkcleat.side import probes as probes_lib
+from tests import ownership_runner
 from tests import ownership_world as world_lib
 
 MAX_SEEDS = 40
@@ -106,7 +107,7 @@
     return bool(
         world_lib.list_overlaps(world)
         or world_lib.list_false_refusals(world)
-        or world_lib.find_peak_cpu(world) > world_lib.RUNNER_CPU
+        or world_lib.find_peak_cpu(world) > ownership_runner.CPU
     )
 
 
