List an overloaded owner that does not hand over as known red

The fronts with a disk, which suit better, are back at 3.1 s and follow, but a successor must have answered a heartbeat of the last 0.3 s, and the owner handles answers later than that. It hands over at 24.8 s; from then on no job fails.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -3,6 +3,7 @@
 import pytest
 
 from skylarkcleat.discovery import election as election_lib
+from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
 from skylarkcleat.wire import session as session_lib
@@ -52,3 +53,24 @@
     weak = election_lib.find_rank(False, 0.516, 12.5)
     assert strong < disk < weak
     assert election_lib.find_rank(False, 1.07, 1000.0) < disk
+
+
+# A weak front that owned the jobs while all fronts with a disk were down was
+# overloaded, and kept them for 20 s beside stronger fronts that followed it.
+def test_an_owner_that_answers_late_hands_over_to_a_front_that_suits_better():
+    election = _claim("front-2")
+    election.rank = election_lib.find_rank(False, 0.516, 12.5)
+    better = election_lib.find_rank(True, 1.72, 200.0)
+    front = locating.FrontRef("front-1", "z", better, True, False, 0)
+    view = locating.View(
+        front, (), election.followed, 0, locating.LogRef(), (), 1
+    )
+    election.record_view(view, 1.0)
+    delay_s = 2 * lease.FRONT_LEASE_S
+    now = 1.0
+    while now < 1.0 + 2 * election_lib.HANDOVER_AFTER_S:
+        now += lease.HEARTBEAT_INTERVAL_S
+        term = election.followed.term
+        reply = owning.OwnerHeartbeatReply(term, now - delay_s)
+        election.handle_heartbeat_reply(front.name, reply, now)
+    assert election.find_successor(now, False) == front.name
