Show that malformed requests end fronts that have just started

Cause: a request whose Host isn't UTF-8 can't be encoded for the owner. One that waits for an owner makes the loop that sends waiting requests fail until the process ends.

--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -98,6 +98,16 @@
             self._process.send_signal(signal.SIGKILL)
             self._process.wait()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether it has ended."""
+        return self._process.poll() is not None
+
+    @property
+    def exit_status(self) -> int | None:
+        """Its exit status, or the negative number of a signal."""
+        return self._process.poll()
+
     def list_logged(self, kind: str) -> list[dict[str, t.Any]]:
         """Returns its log lines of a type, to pick a victim by."""
         if not self.log.exists():
@@ -200,6 +210,11 @@
             'config_mode = "highest"\norders = "call"\n'
         )
 
+    @property
+    def front_port(self) -> int:
+        """The port where callers reach each front."""
+        return self._port + 8
+
     def front_url(self, front: int, path: str) -> str:
         """Returns the URL of a path where callers reach a front."""
         return f"http://{self.fronts[front].ip}:{self._port + 8}{path}"
@@ -277,11 +292,15 @@
         self.record.write("answer", job=job, status=status, body=text)
         return status, text
 
+    async def is_ready(self, front: Process) -> bool:
+        """Returns whether a front says within a second that it is ready."""
+        url = f"http://{front.ip}:{self._port + 9}/api/ready"
+        return (await self.call("GET", url, deadline_ms=1000))[0] == 200
+
     async def _wait_ready(self) -> None:
         end = time.monotonic() + START_TIMEOUT_S
         for front in self.fronts:
-            url = f"http://{front.ip}:{self._port + 9}/api/ready"
-            while (await self.call("GET", url, deadline_ms=1000))[0] != 200:
+            while not await self.is_ready(front):
                 if time.monotonic() > end:
                     raise CaseError(f"front {front.ip} is not ready")
                 await asyncio.sleep(0.1)
