Time the case of the waking front so that it shows the fault more often

Cause: with one added runner the owner often heard of it before it had placed the job again, or the job's tasks ran on other runners. Change: three runners are added while the first ones are busy.

--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -169,7 +169,7 @@
         self._stack.callback(front.kill)
         front.start()
 
-    async def add_side(self) -> int:
+    async def add_side(self, rack: str = "r1-1") -> int:
         """Adds an empty runner and its side process; returns its number."""
         number = len(self.sides)
         ip = f"{self._net}.{number + 11}"
@@ -191,7 +191,7 @@
             port + 11,
             f"{ip}:{port + 10}",
             SERVICE,
-            ("a", f"r1-{number}"),
+            ("a", rack),
             self.record.write,
         )
         await runner.serve(self._stack)
@@ -356,7 +356,7 @@
         net = f"127.{generator.randrange(20, 250)}.{generator.randrange(256)}"
         port = generator.randrange(7000, 28000, 20)
         try:
-            for host in ("1", "2", "3", "4", "11", "12", "13", "14", "15"):
+            for host in (1, 2, 3, 4, *range(11, 18)):
                 for offset in range(12):
                     with socket.socket() as probe:
                         probe.bind((f"{net}.{host}", port + offset))
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -10,6 +10,9 @@
 import aiohttp
 from aiohttp import web
 
+CPU = 8000
+"""The capacity of a runner, in thousandths of a core."""
+
 MAX_HOLD_MS = 1000
 STOP_S = 0.005
 """How long a stop takes; the pages allow 50 ms."""
@@ -110,7 +113,7 @@
                 "slots": 8,
                 "state": "ready",
                 "cold-remaining-ms": 0,
-                "capacity": {"cpu": 8000, "mem-mb": 32768, "gpu": 0},
+                "capacity": {"cpu": CPU, "mem-mb": 32768, "gpu": 0},
                 "labels": list(self._labels),
                 "clock-ms": int(self._clock_ms()),
                 "sequence": self._sequence,
