Show that a report of another writer overloads runners

Cause: fields that the project does not use may be missing or of another type in a runner's report, and its capacity is taken all the same. The code is unchanged.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps python3 -c "import aiohttp, eliot, zmq"
-for file in review/standins2/*.py review/6/*.py review/7/*.py review/8/*.py review/9/*.py; do
+for file in review/standins2/*.py review/6/*.py review/7/*.py review/8/*.py review/9/*.py review/10/*.py; do
     PYTHONDONTWRITEBYTECODE=1 python3 -c \
         "import ast, sys; ast.parse(open(sys.argv[1]).read())" "$file"
 done
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -98,6 +98,12 @@
             self._process.send_signal(signal.SIGKILL)
             self._process.wait()
 
+    def forbid_bootstrap(self) -> None:
+        """Says in its settings that the system has started before."""
+        text = self._settings.read_text()
+        text = text.replace("bootstrap = true", "bootstrap = false")
+        self._settings.write_text(text)
+
     @property
     def has_ended(self) -> bool:
         """Whether it has ended."""
@@ -138,6 +144,13 @@
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the processes and sends the first manifest."""
+        await self.start(stack)
+        await self._wait_ready()
+        await self.put(1)
+        await self._wait_served()
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Starts the processes with empty disks."""
         self._stack = stack
         stack.callback(shutil.rmtree, self._folder, ignore_errors=True)
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
@@ -145,9 +158,6 @@
             self._add_front(number, has_disk=number < 3)
         for _ in range(self._side_count):
             await self.add_side()
-        await self._wait_ready()
-        await self.put(1)
-        await self._wait_served()
 
     def _add_front(self, number: int, has_disk: bool) -> None:
         ip = f"{self._net}.{number + 1}"
@@ -219,8 +229,32 @@
         """Returns the URL of a path where callers reach a front."""
         return f"http://{self.fronts[front].ip}:{self._port + 8}{path}"
 
+    async def wait_listening(self, fronts: t.Iterable[int]) -> None:
+        """Waits until fronts answer status checks, ready or not."""
+        end = time.monotonic() + START_TIMEOUT_S
+        for number in fronts:
+            url = self._ready_url(self.fronts[number])
+            while not (await self.call("GET", url, deadline_ms=1000))[0]:
+                if time.monotonic() > end:
+                    raise CaseError("a front does not listen")
+                await asyncio.sleep(POLL_S)
+
+    def control_url(self, front: int, path: str) -> str:
+        """Returns the URL of a path where operators reach a front."""
+        return f"http://{self.fronts[front].ip}:{self._port + 10}{path}"
+
     async def put(self, version: int) -> None:
         """Sends a manifest until it is acknowledged."""
+        end = time.monotonic() + START_TIMEOUT_S
+        front = 0
+        while await self.try_put(front, version) != 200:
+            if time.monotonic() > end:
+                raise CaseError("the manifest is not acknowledged")
+            front = (front + 1) % len(self.fronts)
+            await asyncio.sleep(0.2)
+
+    async def try_put(self, front: int, version: int) -> int:
+        """Sends a manifest to a front; returns the status of the answer."""
         route = {
             "name": "r-73hh2b9",
             "host": HOST,
@@ -254,13 +288,9 @@
             "services": [service],
             "limits": limits,
         }
-        ip = self.fronts[0].ip
-        url = f"http://{ip}:{self._port + 10}/api/config/put"
-        end = time.monotonic() + START_TIMEOUT_S
-        while (await self.call("POST", url, body))[0] != 200:
-            if time.monotonic() > end:
-                raise CaseError("the manifest is not acknowledged")
-            await asyncio.sleep(0.2)
+        url = self.control_url(front, "/api/config/put")
+        status, _ = await self.call("POST", url, body, deadline_ms=1000)
+        return status
 
     async def call(
         self, method: str, url: str, body: t.Any = None, deadline_ms: int = 8000
@@ -294,9 +324,12 @@
 
     async def is_ready(self, front: Process) -> bool:
         """Returns whether a front says within a second that it is ready."""
-        url = f"http://{front.ip}:{self._port + 9}/api/ready"
+        url = self._ready_url(front)
         return (await self.call("GET", url, deadline_ms=1000))[0] == 200
 
+    def _ready_url(self, front: Process) -> str:
+        return f"http://{front.ip}:{self._port + 9}/api/ready"
+
     async def _wait_ready(self) -> None:
         end = time.monotonic() + START_TIMEOUT_S
         for front in self.fronts:
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -49,6 +49,7 @@
 
     Attributes:
         id: Its id.
+        control: Where its side process takes its reports, as `ip:port`.
         runs: Every run that it began.
     """
 
@@ -66,7 +67,7 @@
         self.runs: list[Run] = []
         self._ip = ip
         self._port = port
-        self._control = control
+        self.control = control
         self._service = service
         self._labels = labels
         self._write = write
@@ -101,24 +102,28 @@
         fields |= {"clock-ms": int(self._clock_ms()), "born": self._born}
         return web.json_response(fields, status=status)
 
+    def describe(self) -> dict[str, t.Any]:
+        """Returns its last report about itself."""
+        return {
+            "service": self._service,
+            "address": f"{self._ip}:{self._port}",
+            "zone": "waycross",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "capacity": {"cpu": CPU, "mem-mb": 32768, "gpu": 0},
+            "labels": list(self._labels),
+            "clock-ms": int(self._clock_ms()),
+            "sequence": self._sequence,
+            "born": self._born,
+        }
+
     async def _report(self, session: aiohttp.ClientSession) -> None:
-        url = f"http://{self._control}/api/instances/{self.id}/heartbeat"
+        url = f"http://{self.control}/api/instances/{self.id}/heartbeat"
         while True:
             self._sequence += 1
-            body = {
-                "service": self._service,
-                "address": f"{self._ip}:{self._port}",
-                "zone": "waycross",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold-remaining-ms": 0,
-                "capacity": {"cpu": CPU, "mem-mb": 32768, "gpu": 0},
-                "labels": list(self._labels),
-                "clock-ms": int(self._clock_ms()),
-                "sequence": self._sequence,
-                "born": self._born,
-            }
+            body = self.describe()
             pause_s = HEARTBEAT_S
             try:
                 timeout = aiohttp.ClientTimeout(total=1.0)
