--- a/review/6/case.py
+++ b/review/6/case.py
@@ -139,4 +139,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleet_lib.run_case(FOLDER, play))
+    has_trouble = sys.argv[1:] != ["0"]
+    sys.exit(fleet_lib.run_case(FOLDER, play, has_trouble))
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -402,10 +402,10 @@
 def run_case(
     folder: pathlib.Path,
     play: t.Callable[[Record, bool], t.Coroutine[t.Any, t.Any, bool]],
+    has_trouble: bool,
 ) -> int:
     """Runs a case; returns the exit status."""
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=int(has_trouble))
     try:
         is_broken = asyncio.run(
