Log what a takeover's list of side processes rests on

New lines: front:takeover (since when no heartbeat was handled, the list that is held and its term, the number that the last heartbeat announced, and whether the list was taken for complete), front:sides (a list has come) and front:paused (the process stood still or was late).

--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -61,10 +61,12 @@
         self._ownership = ownership
         self._send = send
         self._started_at = clock_lib.read_monotonic()
+        self._ticked_at = self._started_at
         self._heartbeat_sent_at = float("-inf")
         self._successor_checked_at = float("-inf")
         self._sent_sides: dict[session_lib.Endpoint, owning.SideNames] = {}
         self._received_sides = owning.SideNames(0, ())
+        self._announced_sides = 0
         self._last_followed_at: dict[int, float] = {}
         self._owner_versions: dict[str, int] = {}
 
@@ -72,6 +74,7 @@
         """Claims the ownership when it is due and runs it while it is held."""
         while True:
             now = clock_lib.read_monotonic()
+            self._log_pause(now)
             previous = self._election.followed
             unseen_s = now - self._election.last_seen_at
             if self._election.tick(now):
@@ -80,6 +83,16 @@
                 self._run_ownership(now)
             await asyncio.sleep(TICK_S)
 
+    def _log_pause(self, now: float) -> None:
+        """Logs that this process stood still or was late.
+
+        What it handles next may have waited for as long.
+        """
+        late_s = now - self._ticked_at - TICK_S
+        self._ticked_at = now
+        if late_s >= election_lib.STALL_S:
+            eliot.log_message("front:paused", late_ms=round(late_s * 1000))
+
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns the seconds until no run of a previous owner is left."""
         election = self._election
@@ -118,8 +131,7 @@
                 self._send_sides(peer)
                 self._check_successor(peer.name, now)
         elif isinstance(message, owning.SideNames):
-            if message.term >= self._received_sides.term:
-                self._received_sides = message
+            self._handle_side_names(message)
         elif isinstance(message, owning.Handover):
             self._handle_handover(message, now)
 
@@ -149,9 +161,18 @@
             # The other owner has more side processes.
             reason = f"{sender} owns the jobs too"
             self._end_ownership(reason, sender, previous.term, inherited, now)
+        self._announced_sides = heartbeat.sides
         self._record_followed(self._election.followed.term, now)
         self._send(sender, reply)
 
+    def _handle_side_names(self, message: owning.SideNames) -> None:
+        if message.term < self._received_sides.term:
+            return
+        self._received_sides = message
+        eliot.log_message(
+            "front:sides", term=message.term, sides=len(message.names)
+        )
+
     def _record_followed(self, term: int, now: float) -> None:
         """Records that jobs of this front may run in a term up to now."""
         self._last_followed_at[term] = now
@@ -179,6 +200,16 @@
             now if is_settled else now + lease.TAKEOVER_WAIT_S,
             self._list_fronts(now),
         )
+        eliot.log_message(
+            "front:takeover",
+            term=election.followed.term,
+            former_term=previous.term,
+            heard_ms=round(unseen_s * 1000) if previous.term else -1,
+            listed_term=received.term,
+            listed=len(received.names),
+            announced=self._announced_sides,
+            complete=is_complete,
+        )
         self._ownership.begin(election.followed.term, predecessor)
         self._announce_ownership(received.names, now)
 
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -88,3 +88,23 @@
     handover = owning.Handover(TERM, (), ("side-1",))
     assert (FOLLOWER.name, handover) in sent
     assert task._election.followed == (FOLLOWER.name, TERM)
+
+
+def test_a_takeover_tells_what_the_list_of_side_processes_rests_on(
+    task, log_lines, monkeypatch
+):
+    now = 0.0
+    monkeypatch.setattr(clock_lib, "read_monotonic", lambda: now)
+    owner = session_lib.Endpoint("front-3", 1)
+    followed = locating.OwnerRef(owner.name, TERM)
+    task.receive(owner, owning.OwnerHeartbeat(TERM + 1, (), 0.0, 3, 0))
+    task.receive(owner, owning.SideNames(TERM + 1, ("side-1", "side-2")))
+    task._ownership.begin = lambda term, predecessor: None
+    task._election._claim(0.4)
+    task._begin_ownership(followed._replace(term=TERM + 1), 0.4, 0.4)
+    line = next(
+        line for line in log_lines if line["message_type"] == "front:takeover"
+    )
+    assert (line["heard_ms"], line["complete"]) == (400, True)
+    assert (line["listed_term"], line["listed"]) == (TERM + 1, 2)
+    assert line["announced"] == 3
