Put a follower's list of side processes under a lease

Cause: a front took its list of the owner's side processes for complete if it had handled a heartbeat within 0.5 s. A heartbeat that is handled may have waited for seconds, and says nothing of a list: the owner sends that on a reply, so a front that stands still, or that the owner doesn't hear, gets heartbeats alone. And the owner used a new side process 0.3 s after it registered, whoever knew it.

Evidence: the trace of (listed 3, announced 6, complete true). Ruled out: that names came and were dropped.

Change: the owner confirms replies of fronts that have its present list (SideNamesConfirmed), and a list is complete for 0.7 s since the front itself sent such a reply. The owner uses a new side process once each front whose lease may be valid has its name; a front has a list once it has replied to a heartbeat that was sent after it in the same session. In place of 0.3 s for each new side process. Existing messages stay as they were on the wire. What an owner tells other fronts moved from election_task to owner_heartbeats.

Tried and left out: the age of a heartbeat from its time of sending and the least delay seen (moves with suspended VMs, and a list that was never sent stays old); a version of the list in each heartbeat (a front need not have handled the last one).

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -45,6 +45,10 @@
 """How much longer than others a late owner that handed over its jobs waits at
 most before it claims them again."""
 
+LATE_SEARCH_S = lease.SIDE_LIST_LEASE_S - SEARCH_AFTER_S
+"""After a search of this length nobody's list of the side processes of the lost
+owner counts as complete any more."""
+
 KEPT_TERMS = 8
 """How many terms of owners that handed over their jobs are kept."""
 
@@ -278,7 +282,7 @@
         mine = rank_lib.Candidate(
             self.rank, self._local_name, self.followed.term
         )
-        is_late = now - self._searching_since >= lease.SIDES_FRESHNESS_S
+        is_late = now - self._searching_since >= LATE_SEARCH_S
         return mine.may_claim(recent, is_late)
 
     def _should_follow(
--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 
 import eliot
@@ -15,7 +16,9 @@
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
+from skylarkcleat.discovery import side_list
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import owner_heartbeats
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
@@ -62,10 +65,11 @@
         self._send = send
         self._started_at = clock_lib.read_monotonic()
         self._ticked_at = self._started_at
-        self._heartbeat_sent_at = float("-inf")
+        self._heartbeats = owner_heartbeats.OwnerHeartbeats(
+            local.name, election, peers, configuration_cache, ownership, send
+        )
         self._successor_checked_at = float("-inf")
-        self._sent_sides: dict[session_lib.Endpoint, owning.SideNames] = {}
-        self._received_sides = owning.SideNames(0, ())
+        self._side_list = side_list.SideList()
         self._announced_sides = 0
         self._last_followed_at: dict[int, float] = {}
         self._owner_versions: dict[str, int] = {}
@@ -76,9 +80,8 @@
             now = clock_lib.read_monotonic()
             self._log_pause(now)
             previous = self._election.followed
-            unseen_s = now - self._election.last_seen_at
             if self._election.tick(now):
-                self._begin_ownership(previous, unseen_s, now)
+                self._begin_ownership(previous, now)
             if self._election.is_owner:
                 self._run_ownership(now)
             await asyncio.sleep(TICK_S)
@@ -115,8 +118,7 @@
     def forget_sent(self, front: str) -> None:
         """Forgets what a front was sent: it may not have arrived."""
         self._owner_versions.pop(front, None)
-        for peer in [each for each in self._sent_sides if each.name == front]:
-            del self._sent_sides[peer]
+        self._heartbeats.forget_sent(front)
 
     def receive(
         self, peer: session_lib.Endpoint, message: owning.OwningMessage
@@ -128,10 +130,12 @@
         elif isinstance(message, owning.OwnerHeartbeatReply):
             if self._election.handle_heartbeat_reply(peer.name, message, now):
                 self._ownership.handle_heartbeat_reply(peer, message)
-                self._send_sides(peer)
+                self._heartbeats.handle_reply(peer.name, message, now)
                 self._check_successor(peer.name, now)
         elif isinstance(message, owning.SideNames):
             self._handle_side_names(message)
+        elif isinstance(message, owning.SideNamesConfirmed):
+            self._side_list.confirm(message)
         elif isinstance(message, owning.Handover):
             self._handle_handover(message, now)
 
@@ -162,13 +166,15 @@
             reason = f"{sender} owns the jobs too"
             self._end_ownership(reason, sender, previous.term, inherited, now)
         self._announced_sides = heartbeat.sides
+        self._side_list.record_reply(reply, now)
         self._record_followed(self._election.followed.term, now)
         self._send(sender, reply)
 
     def _handle_side_names(self, message: owning.SideNames) -> None:
-        if message.term < self._received_sides.term:
+        is_followed = message.term == self._election.followed.term
+        if message.term < self._side_list.term and not is_followed:
             return
-        self._received_sides = message
+        self._side_list.update(message)
         eliot.log_message(
             "front:sides", term=message.term, sides=len(message.names)
         )
@@ -179,39 +185,34 @@
         while len(self._last_followed_at) > election_lib.KEPT_TERMS:
             del self._last_followed_at[min(self._last_followed_at)]
 
-    def _begin_ownership(
-        self, previous: locating.OwnerRef, unseen_s: float, now: float
-    ) -> None:
+    def _begin_ownership(self, previous: locating.OwnerRef, now: float) -> None:
         """Takes over from an owner that has become unresponsive."""
         election = self._election
-        received = self._received_sides
-        is_complete = (
-            previous.term > 0
-            and received.term == previous.term
-            and unseen_s < lease.SIDES_FRESHNESS_S
-        )
+        listed = self._side_list
+        is_complete = listed.is_complete(previous.term, now)
         is_restart = (
             election.is_first and now - self._started_at < RESTART_WINDOW_S
         )
         is_settled = is_complete or is_restart
         predecessor = predecessor_lib.Predecessor(
             previous.term,
-            received.names if is_complete else (),
+            listed.names if is_complete else (),
             now if is_settled else now + lease.TAKEOVER_WAIT_S,
-            self._list_fronts(now),
+            self._heartbeats.list_fronts(now),
         )
+        age_s = listed.find_age_s(previous.term, now)
         eliot.log_message(
             "front:takeover",
             term=election.followed.term,
             former_term=previous.term,
-            heard_ms=round(unseen_s * 1000) if previous.term else -1,
-            listed_term=received.term,
-            listed=len(received.names),
+            listed_term=listed.term,
+            listed=len(listed.names),
             announced=self._announced_sides,
+            age_ms=-1 if math.isinf(age_s) else round(age_s * 1000),
             complete=is_complete,
         )
         self._ownership.begin(election.followed.term, predecessor)
-        self._announce_ownership(received.names, now)
+        self._announce_ownership(listed.names, now)
 
     def _handle_handover(self, handover: owning.Handover, now: float) -> None:
         was_owner = self._election.is_owner
@@ -222,7 +223,10 @@
             self._ownership.extend(term, handover.sides)
         else:
             predecessor = predecessor_lib.Predecessor(
-                handover.term, handover.sides, now, self._list_fronts(now)
+                handover.term,
+                handover.sides,
+                now,
+                self._heartbeats.list_fronts(now),
             )
             self._ownership.begin(term, predecessor)
         self._announce_ownership(handover.sides, now)
@@ -255,16 +259,14 @@
     def _announce_ownership(self, sides: t.Iterable[str], now: float) -> None:
         """Notifies fronts and side processes at once of the new owner."""
         eliot.log_message("front:claimed", term=self._election.followed.term)
-        self._sent_sides.clear()
         self._record_followed(self._election.followed.term, now)
-        self._send_heartbeats(now)
+        self._heartbeats.begin(now)
         found = locating.OwnerFound(self._election.followed)
         for side in sides:
             self._send(side, found)
 
     def _run_ownership(self, now: float) -> None:
-        if now - self._heartbeat_sent_at >= lease.HEARTBEAT_INTERVAL_S:
-            self._send_heartbeats(now)
+        self._heartbeats.run(now)
         self._ownership.tick()
 
     def _check_successor(self, follower: str, now: float) -> None:
@@ -279,28 +281,3 @@
         if self._election.is_outranked_by(follower):
             self._successor_checked_at = now
             self._hand_over(self._election.find_successor(now, False), now)
-
-    def _send_heartbeats(self, now: float) -> None:
-        self._heartbeat_sent_at = now
-        election = self._election
-        sides = self._ownership.sides
-        heartbeat = owning.OwnerHeartbeat(
-            election.followed.term,
-            election.inherited,
-            now,
-            len(sides),
-            self._configuration_cache.version,
-        )
-        for name in self._list_fronts(now):
-            self._send(name, heartbeat)
-
-    def _list_fronts(self, now: float) -> tuple[str, ...]:
-        """Returns the names of the other fronts that are known."""
-        return tuple(self._peers.list_names(self._local.name, now))
-
-    def _send_sides(self, front: session_lib.Endpoint) -> None:
-        term = self._election.followed.term
-        message = owning.SideNames(term, self._ownership.sides)
-        if self._sent_sides.get(front) != message:
-            self._sent_sides[front] = message
-            self._send(front.name, message)
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -46,6 +46,15 @@
         """The side processes that may run tasks; none without an owner."""
         return self._owner.sides if self._owner else ()
 
+    @property
+    def unknown_sides(self) -> list[str]:
+        """The side processes that a successor may not know; get no tasks."""
+        return self._owner.list_unknown_sides() if self._owner else []
+
+    def open_sides(self, sides: t.Iterable[str]) -> None:
+        """Lets side processes get tasks that every successor knows."""
+        self._owner.open_sides(sides, clock_lib.read_monotonic())
+
     def begin(
         self, term: int, predecessor: predecessor_lib.Predecessor
     ) -> None:
--- a/src/skylarkcleat/protocol/owning.py
+++ b/src/skylarkcleat/protocol/owning.py
@@ -58,6 +58,20 @@
     names: tuple[str, ...]
 
 
+class SideNamesConfirmed(t.NamedTuple):
+    """Confirms a front's list of side processes.
+
+    It was complete when the front sent a reply.
+
+    Attributes:
+        term: The owner's term.
+        sent_at: `sent_at` of the heartbeat that the front replied to.
+    """
+
+    term: int
+    sent_at: float
+
+
 class Resubmit(t.NamedTuple):
     """Asks a front to send its open requests to the owner again.
 
@@ -99,6 +113,7 @@
     OwnerHeartbeat
     | OwnerHeartbeatReply
     | SideNames
+    | SideNamesConfirmed
     | Resubmit
     | Handover
     | OwnershipMoved
--- a/src/skylarkcleat/scheduling/lease.py
+++ b/src/skylarkcleat/scheduling/lease.py
@@ -42,10 +42,12 @@
 Longer than `FRONT_LEASE_S`, so that the previous owner detects the loss of the
 front first and starts no more of its jobs."""
 
-SIDES_FRESHNESS_S = OWNER_TIMEOUT_S + 0.15
-"""A front that received a heartbeat of the previous owner within this time has
-a complete list of its side processes, so it can place tasks at once. A side
-process that is not in the list gets no tasks for `workers.QUARANTINE_S`."""
+SIDE_LIST_LEASE_S = OWNER_TIMEOUT_S + 0.35
+"""How long a front's list of an owner's side processes counts as complete, from
+when the front sent the reply that the owner has confirmed.
+
+A front that takes over within this time can place tasks at once. Longer than
+the time in which an owner is missed, by a few heartbeats."""
 
 SIDE_LEASE_S = 0.75
 """How long a side process may act after it requested or renewed its lease.
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -87,6 +87,18 @@
         """The names of all side processes that may run tasks."""
         return self._workers.list_names()
 
+    def list_unknown_sides(self) -> list[str]:
+        """Returns the side processes that a successor may not know.
+
+        They get no tasks until they are opened.
+        """
+        return self._workers.list_unknown()
+
+    def open_sides(self, sides: t.Iterable[str], now: float) -> None:
+        """Lets side processes get tasks that every successor knows."""
+        self._workers.open(sides, now)
+        self._jobs.needs_placement = True
+
     def find_rooms(self, upstream: str, now: float) -> room_index_lib.RoomIndex:
         """Returns the runners of an upstream with the room that each has."""
         return self._workers.find_rooms(upstream, now)
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -46,7 +46,8 @@
         register: The request for the lease.
         peer: The incarnation that sent it.
         now: The time, in seconds.
-        open_at: From when on it may be sent tasks, in seconds.
+        open_at: From when on it may be sent tasks, in seconds; infinite until
+            the fronts know it that may take over.
         speed: The measured speed of the runner.
         changes: Is told of each change of its room, runner or phase.
         order: Its number among the owner's side processes.
@@ -58,7 +59,8 @@
         zone: Its availability zone.
         registered_at: When the lease was first granted, in seconds.
         granted_at: When the lease was last granted or renewed, in seconds.
-        open_at: From when on it may be sent tasks, in seconds.
+        open_at: From when on it may be sent tasks, in seconds; infinite until
+            the fronts know it that may take over.
         has_restarted: Whether its runner has started anew since the runs that
             its former lease left.
         paused_until: Until when it gets no tasks, since it refused one for
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import math
 
 import eliot
 
@@ -22,13 +23,6 @@
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
-QUARANTINE_S = 0.3
-"""How long a side process gets no tasks after its first registration.
-
-Its name is sent to the fronts meanwhile, so that a front that takes over knows
-every side process that may run tasks."""
-
-
 GROWTH_WINDOW_S = 1.0
 """The fleet is growing while half of the side processes, and more than one,
 have joined within this time, as after a power loss of all VMs: they start
@@ -56,7 +50,8 @@
     ) -> None:
         self.by_side: dict[str, worker_lib.Worker] = {}
         self.settling = settling_lib.Settling(settled_at, now)
-        self._announced_at: dict[str, float] = {}
+        self._joined_at: dict[str, float] = {}
+        self._unknown: dict[str, None] = {}
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
         self._log = workers_log.WorkersLog(now)
         self._changes = worker_changes_lib.WorkerChanges()
@@ -77,7 +72,8 @@
         """
         outdated = []
         for side in sides:
-            self._announced_at[side] = now - QUARANTINE_S
+            self._joined_at[side] = now
+            self._unknown.pop(side, None)
             self.settling.expect(side, now)
             worker = self.by_side.get(side)
             if worker is not None:
@@ -102,9 +98,10 @@
         key = message.runner.id if message.runner else message.side
         speed = self._speeds.setdefault(key, speed_lib.RunnerSpeed())
         previous = self.by_side.get(message.side)
-        open_at = (
-            self._announced_at.setdefault(message.side, now) + QUARANTINE_S
-        )
+        if message.side not in self._joined_at:
+            self._joined_at[message.side] = now
+            self._unknown[message.side] = None
+        open_at = math.inf if message.side in self._unknown else now
         self._registered += 1
         order = previous.order if previous else self._registered
         worker = worker_lib.Worker(
@@ -115,6 +112,19 @@
         self.by_side[message.side] = worker
         return worker
 
+    def list_unknown(self) -> list[str]:
+        """Returns the side processes that a successor may not know.
+
+        They get no tasks until they are opened.
+        """
+        return list(self._unknown)
+
+    def open(self, sides: collections.abc.Iterable[str], now: float) -> None:
+        """Lets side processes get tasks that every successor knows."""
+        for side in sides:
+            del self._unknown[side]
+            self.by_side[side].open_at = now
+
     def find(self, side: str, epoch: int) -> worker_lib.Worker | None:
         """Returns the worker with a lease, or None if that is not current."""
         worker = self.by_side.get(side)
@@ -132,7 +142,8 @@
     ) -> None:
         """Removes a worker under whose lease no task can run any more."""
         del self.by_side[worker.side]
-        self._announced_at.pop(worker.side, None)
+        self._joined_at.pop(worker.side, None)
+        self._unknown.pop(worker.side, None)
         self._changes.record(worker.side)
         for task in worker.runs:
             self._changes.discard_run(task, worker.side)
@@ -161,7 +172,7 @@
     def expire_unreported(self, now: float) -> None:
         """Drops sides whose leases from a previous owner have expired."""
         for side in self.settling.expire(self.by_side, now):
-            self._announced_at.pop(side, None)
+            self._joined_at.pop(side, None)
 
     def find_rooms(self, upstream: str, now: float) -> room_index_lib.RoomIndex:
         """Returns the runners of an upstream, up to date.
@@ -177,7 +188,7 @@
     def is_growing(self, now: float) -> bool:
         """Returns whether many more side processes may join at any moment."""
         since = now - GROWTH_WINDOW_S
-        recent = sum(self._announced_at[side] > since for side in self.by_side)
+        recent = sum(self._joined_at[side] > since for side in self.by_side)
         return recent > 1 and 2 * recent >= len(self.by_side)
 
     def log_closed(self, now: float) -> None:
--- a/tests/ownership_network.py
+++ b/tests/ownership_network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextvars
 import random
 import typing as t
 
@@ -32,6 +33,11 @@
         self._random = generator
         self._arrivals: dict[tuple[str, str], float] = {}
         self._handled_at: dict[tuple[str, str], float] = {}
+        self._context: contextvars.Context | None = None
+
+    def outlive_senders(self) -> None:
+        """Delivers what was sent from now on even if its sender dies."""
+        self._context = contextvars.copy_context()
 
     def block(self, one: str, other: str, until: float) -> None:
         """Blocks messages from one process to another until a time."""
@@ -57,7 +63,15 @@
         self._arrivals[pair] = at
         at = self._find_handled_at(pair, at)
         sender = hub.local
-        loop.call_at(at, self._deliver, sender, name, incarnation, message)
+        loop.call_at(
+            at,
+            self._deliver,
+            sender,
+            name,
+            incarnation,
+            message,
+            context=self._context,
+        )
 
     def _find_handled_at(self, pair: tuple[str, str], at: float) -> float:
         """Returns when a message is handled that arrives at a time.
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -249,14 +249,14 @@
     election = _start("front-1", STRONG, TERM)
     started = _describe("front-0", rank, 0)
     claimed_at = _tick_beside(election, started, 1.0, 1.0)
-    assert claimed_at - 1.0 < lease.SIDES_FRESHNESS_S
+    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S
 
 
 @pytest.mark.parametrize("rank", [STRONG - 1, STRONG, STRONG + 1, DISKLESS])
 def test_a_front_that_has_just_started_leaves_the_jobs_to_others(rank):
     election = _start("front-0", rank, 0)
     follower = _describe("front-1", STRONG, TERM)
-    assert not _tick_beside(election, follower, 1.0, lease.SIDES_FRESHNESS_S)
+    assert not _tick_beside(election, follower, 1.0, election_lib.LATE_SEARCH_S)
 
 
 # A front of an earlier version goes by the rank only, and waits for the other.
@@ -264,7 +264,7 @@
     election = _start("front-0", STRONG, 0)
     follower = _describe("front-1", STRONG, TERM)
     claimed_at = _tick_beside(election, follower, 1.0, 2.0)
-    assert claimed_at - 1.0 < lease.SIDES_FRESHNESS_S + 0.1
+    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S + 0.1
 
 
 def test_a_weak_front_waits_for_a_stronger_one_that_has_just_started():
@@ -273,13 +273,13 @@
     assert not _tick_beside(election, started, 1.0, 2.0)
     election = _start("front-0", STRONG, 0)
     weak = _describe("front-1", WEAK, TERM)
-    assert _tick_beside(election, weak, 1.0, lease.SIDES_FRESHNESS_S)
+    assert _tick_beside(election, weak, 1.0, election_lib.LATE_SEARCH_S)
 
 
 def test_a_front_never_waits_for_one_that_stops_whatever_that_knows():
     election = _start("front-1", WEAK, 0)
     stopping = _describe("front-0", rank_lib.UNSUITABLE_RANK, TERM)
-    assert _tick_beside(election, stopping, 1.0, lease.SIDES_FRESHNESS_S)
+    assert _tick_beside(election, stopping, 1.0, election_lib.LATE_SEARCH_S)
 
 
 def test_the_rank_decides_among_fronts_that_followed_the_same_owner():
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -34,10 +34,12 @@
     election.followed = election.followed._replace(name=LOCAL.name, term=TERM)
     ownership = types.SimpleNamespace(
         sides=("side-1",),
+        unknown_sides=(),
         handle_heartbeat_reply=lambda peer, message: None,
+        begin=lambda term, predecessor: None,
         end=lambda reason: ("side-1",),
     )
-    return election_task_lib.ElectionTask(
+    created = election_task_lib.ElectionTask(
         LOCAL,
         election,
         peer_table_lib.PeerTable((), random.Random(1)),
@@ -45,6 +47,8 @@
         ownership,
         lambda name, message: sent.append((name, message)),
     )
+    created._heartbeats.begin(0.0)
+    return created
 
 
 # TWICE: names of side processes that were lost with a session were never sent
@@ -96,15 +100,14 @@
     now = 0.0
     monkeypatch.setattr(clock_lib, "read_monotonic", lambda: now)
     owner = session_lib.Endpoint("front-3", 1)
-    followed = locating.OwnerRef(owner.name, TERM)
-    task.receive(owner, owning.OwnerHeartbeat(TERM + 1, (), 0.0, 3, 0))
+    followed = locating.OwnerRef(owner.name, TERM + 1)
+    task.receive(owner, owning.OwnerHeartbeat(TERM + 1, (), 7.0, 3, 0))
     task.receive(owner, owning.SideNames(TERM + 1, ("side-1", "side-2")))
-    task._ownership.begin = lambda term, predecessor: None
-    task._election._claim(0.4)
-    task._begin_ownership(followed._replace(term=TERM + 1), 0.4, 0.4)
+    task.receive(owner, owning.SideNamesConfirmed(TERM + 1, 7.0))
+    task._begin_ownership(followed, 0.4)
     line = next(
         line for line in log_lines if line["message_type"] == "front:takeover"
     )
-    assert (line["heard_ms"], line["complete"]) == (400, True)
+    assert (line["age_ms"], line["complete"]) == (400, True)
     assert (line["listed_term"], line["listed"]) == (TERM + 1, 2)
     assert line["announced"] == 3
