Keep a front's part in the first start on its disk

No log is ever founded; each configuration and each job is answered 503 for good.

Cause: the right to be one of the initial replicas, the seeds that decide and their promises were in memory, and the right hung on the settings' bootstrap. An empty disk of the first start then looked like one that had lost its log.

Change: at the first start an empty disk gets a record of the seeds, before anything else, and of the promise, which is durable before anybody is told of it. A front goes by its record, not by the settings, when it starts again. A disk that is emptied later has none. What takes part in the choice moved from PeerDiscovery to LogBootstrap.

--- a/src/skylarkcleat/consensus/driver.py
+++ b/src/skylarkcleat/consensus/driver.py
@@ -114,6 +114,16 @@
         """Whether this replica has never been in a cluster."""
         return self._replica.context.snapshot is None
 
+    @property
+    def may_found(self) -> bool:
+        """Whether this replica may still take part in founding a cluster.
+
+        It is in none, or in one whose majority never relied on it, and its
+        disk has not taken the place of a damaged one.
+        """
+        may_leave = self._replica.context.may_leave_cluster
+        return self._storage.may_bootstrap and (self.is_empty or may_leave)
+
     @property
     def member_names(self) -> tuple[str, ...]:
         """The names of all replicas in the membership that is stored here."""
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -1,4 +1,4 @@
-"""Discovers other fronts and bootstraps the log with them."""
+"""Discovers other fronts, the owner of the jobs and the log's leader."""
 
 from __future__ import annotations
 
@@ -6,14 +6,12 @@
 import collections
 import typing as t
 
-import eliot
-
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.consensus import driver as driver_lib
-from skylarkcleat.discovery import bootstrap as bootstrap_lib
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import log_bootstrap as log_bootstrap_lib
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
 
@@ -42,6 +40,7 @@
         election: election_lib.Election,
         configuration_cache: configuration_cache_lib.ConfigurationCache,
         log: driver_lib.LogDriver | None,
+        bootstrap: log_bootstrap_lib.LogBootstrap,
         send: t.Callable[[str, t.Any], None],
     ) -> None:
         self._settings = settings
@@ -51,23 +50,16 @@
         self._log = log
         self._send = send
         self._local_name = settings.ip
-        is_empty = log is not None and log.is_empty
-        self._bootstrap = bootstrap_lib.Bootstrap(
-            self._local_name,
-            settings.bootstrap and is_empty,
-            settings.bootstrap,
-            peers,
-        )
+        self._bootstrap = bootstrap
         self._queried_at = 0.0
         self._searched_at = 0.0
         self._search_reset_at = 0.0
         self._asked: collections.Counter[str] = collections.Counter()
         self._gossiped_at = 0.0
-        self._has_bootstrapped = False
         self._told_owner = locating.OwnerRef()
 
     async def run(self) -> None:
-        """Queries other fronts, bootstraps the log and tracks its leader."""
+        """Queries other fronts and tracks the log's leader."""
         while True:
             now = clock_lib.read_monotonic()
             self._record_log()
@@ -75,7 +67,7 @@
             if now - self._queried_at >= LEADER_QUERY_INTERVAL_S:
                 self._queried_at = now
                 self._send_hello(self._choose_targets(now), now)
-                self._bootstrap_log(now)
+                self._bootstrap.advance(now)
                 self._connect_replicas(now)
             await asyncio.sleep(TICK_S)
 
@@ -89,7 +81,7 @@
         if isinstance(message, locating.FetchConfiguration):
             return self._configuration_cache.handle_fetch(message)
         if isinstance(message, locating.Propose):
-            self._bootstrap.promise(message.replicas)
+            self._bootstrap.receive(message)
         elif (
             isinstance(message, locating.ViewRequest)
             and message.sender is not None
@@ -153,16 +145,17 @@
         if now - self._gossiped_at < GOSSIP_INTERVAL_S and leader:
             return [leader] if leader != self._local_name else []
         self._gossiped_at = now
-        return peers.choose_targets(self._local_name, now)
+        targets = peers.choose_targets(self._local_name, now)
+        deciders = {*self._bootstrap.deciders} - {self._local_name}
+        return sorted({*targets, *deciders})
 
     def _describe_local(self, now: float) -> locating.FrontRef:
-        log = self._log
         return locating.FrontRef(
             self._local_name,
             self._settings.zone,
             self._election.find_shown_rank(now),
-            log is not None,
-            self._settings.bootstrap and log is not None and log.is_empty,
+            self._log is not None,
+            self._bootstrap.is_candidate,
             0,
         )
 
@@ -188,30 +181,6 @@
             locating.LogRef(log.leader, status.term, replicas)
         )
 
-    def _bootstrap_log(self, now: float) -> None:
-        if (
-            self._log is None
-            or self._has_bootstrapped
-            or not self._log.is_empty
-        ):
-            return
-        initial_replicas = self._bootstrap.find_initial_replicas()
-        if initial_replicas:
-            self._has_bootstrapped = True
-            eliot.log_message("front:founding", founders=list(initial_replicas))
-            for name in initial_replicas:
-                self._connect_replica(name)
-            self._log.allow_bootstrap(initial_replicas)
-            return
-        proposal = self._bootstrap.find_proposal(now)
-        if not proposal:
-            return
-        for seed in self._bootstrap.seeds:
-            if seed == self._local_name:
-                self._bootstrap.promise(proposal)
-            else:
-                self._send(seed, locating.Propose(proposal))
-
     def _connect_replicas(self, now: float) -> None:
         if self._log is None:
             return
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -13,6 +13,7 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
+from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
@@ -21,6 +22,7 @@
 from skylarkcleat.front import drain as drain_lib
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import job_requests as job_requests_lib
+from skylarkcleat.front import log_bootstrap
 from skylarkcleat.front import log_service as log_service_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import peer_discovery as peer_discovery_lib
@@ -55,6 +57,7 @@
         store: The configuration that it holds.
         log: Its replica of the log, if it has one.
         generator: Picks the fronts that it asks at random.
+        record_keeper: Keeps what it knows of the first start.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         store: store_lib.Store,
         log: driver_lib.LogDriver | None,
         generator: random.Random,
+        record_keeper: bootstrap_record.RecordKeeper,
     ) -> None:
         self._settings = settings
         self._hub = hub
@@ -101,6 +105,9 @@
             self._election,
             self._configuration_cache,
             log,
+            log_bootstrap.LogBootstrap(
+                settings.ip, record_keeper, self._peers, log, self._send_any
+            ),
             self._send_any,
         )
         self._log_service = log_service_lib.LogService(store, log, self._send)
--- a/src/skylarkcleat/platform/front_daemon.py
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -13,6 +13,7 @@
 from skylarkcleat.consensus import limits
 from skylarkcleat.consensus import membership_plan
 from skylarkcleat.consensus import settings as log_settings
+from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import ingress as ingress_lib
@@ -32,11 +33,12 @@
     async with contextlib.AsyncExitStack() as stack:
         hub = await stack.enter_async_context(daemon.create_hub(settings))
         store = store_lib.Store()
+        keeper = _open_record(settings)
         log = None
         if settings.data_dir:
             log = await stack.enter_async_context(_create_log(settings, store))
         process = front_process.FrontProcess(
-            settings, hub, store, log, random.Random()
+            settings, hub, store, log, random.Random(), keeper
         )
         ingress = ingress_lib.Ingress(process)
         listen = settings.listen
@@ -56,6 +58,14 @@
             await process.drain()
 
 
+def _open_record(
+    settings: settings_lib.Settings,
+) -> bootstrap_record.RecordKeeper:
+    folder = pathlib.Path(settings.data_dir) if settings.data_dir else None
+    seeds = settings_lib.list_seed_ips(settings)
+    return bootstrap_record.open_record(folder, settings.bootstrap, seeds)
+
+
 def _create_log(
     settings: settings_lib.Settings, store: store_lib.Store
 ) -> driver_lib.LogDriver:
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -13,6 +13,7 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.configuration import content
+from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.front import process as front_process
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import leasing
@@ -220,7 +221,12 @@
             process.spawn(self._report(created, self.runners[name]))
         else:
             created = front_process.FrontProcess(
-                settings, hub, None, None, generator
+                settings,
+                hub,
+                None,
+                None,
+                generator,
+                bootstrap_record.RecordKeeper(None, None),
             )
             created._configuration_cache.update(self._configuration)
             self.fronts[name] = created
--- a/tests/test_consensus_founding.py
+++ b/tests/test_consensus_founding.py
@@ -137,3 +137,47 @@
     _disturb(cluster, generator)
     cluster.run_in_order(4 * FOUNDED_S)
     _commit(cluster)
+
+
+@pytest.fixture
+def remembering(monkeypatch):
+    """Lets a replica that starts again know the initial replicas at once."""
+    start = consensus_cluster.Node.start
+
+    def start_with_record(node):
+        start(node)
+        context = node.context
+        if context.snapshot is None or context.may_leave_cluster:
+            node.replica.allow_bootstrap(node.cluster.names)
+
+    monkeypatch.setattr(consensus_cluster.Node, "start", start_with_record)
+
+
+def _restart_at_random(cluster, generator):
+    """Restarts one replica, or all at the same moment, a few times."""
+    for _ in range(generator.choice((1, 2, 4))):
+        cluster.run_at_random(generator.choice((5, 20, 80, 200)), generator)
+        nodes = list(cluster.nodes.values())
+        if generator.random() < 0.5:
+            nodes = generator.sample(nodes, 1)
+        for node in nodes:
+            node.crash()
+        for node in nodes:
+            node.start()
+
+
+# CONFIG (review/7): replicas that started again during the founding had lost
+# what they had agreed on. Their disks keep it now.
+@pytest.mark.parametrize("disturbed", [False, True])
+@pytest.mark.parametrize("seed", range(40))
+def test_replicas_that_restart_at_the_founding_found_one_cluster(
+    seed, disturbed, remembering
+):
+    generator = random.Random(seed)
+    cluster = _create_cluster("abcde"[: generator.choice((3, 4, 5))])
+    _restart_at_random(cluster, generator)
+    if disturbed:
+        _disturb(cluster, generator)
+        _restart_at_random(cluster, generator)
+    cluster.run_in_order(4 * FOUNDED_S)
+    _commit(cluster)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from skylarkcleat.discovery import bootstrap as bootstrap_lib
+from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.protocol import locating
 
@@ -118,8 +119,16 @@
     assert peers.list_names("me", now) == ["f03"]
 
 
-def _create_bootstrap(local_name, peers, empty=True, first=True):
-    return bootstrap_lib.Bootstrap(local_name, empty and first, first, peers)
+def _create_bootstrap(local_name, peers, has_disk=True, first=True):
+    record = bootstrap_record.BootstrapRecord(SEEDS) if first else None
+    return bootstrap_lib.Bootstrap(local_name, record, has_disk, peers)
+
+
+def _promise(bootstrap, founders):
+    """Lets a seed accept a proposal, and save its promise if it makes one."""
+    bootstrap.accept(founders)
+    if bootstrap.unsaved is not None:
+        bootstrap.record_saved(bootstrap.unsaved)
 
 
 def test_the_first_front_proposes_once_the_candidates_are_stable():
@@ -136,12 +145,12 @@
     assert not other.find_proposal(1.2)
 
 
-@pytest.mark.parametrize(("empty", "first"), [(False, True), (True, False)])
-def test_only_a_front_with_an_empty_disk_at_its_first_start_bootstraps(
-    empty, first
+@pytest.mark.parametrize(("has_disk", "first"), [(False, True), (True, False)])
+def test_only_a_front_whose_disk_was_at_the_first_start_bootstraps(
+    has_disk, first
 ):
     peers = _peers()
-    bootstrap = _create_bootstrap("10.0.0.1", peers, empty, first)
+    bootstrap = _create_bootstrap("10.0.0.1", peers, has_disk, first)
     bootstrap.find_proposal(0.0)
     assert not bootstrap.find_proposal(2.0)
     for seed in SEEDS:
@@ -165,7 +174,7 @@
     ]
     seeds = {seed: _create_bootstrap(seed, _peers()) for seed in SEEDS}
     for seed, choice in proposals:
-        seeds[SEEDS[seed]].promise(sets[choice])
+        _promise(seeds[SEEDS[seed]], sets[choice])
     founders = set()
     for local_name in SEEDS:
         peers = _peers()
@@ -187,3 +196,53 @@
         peers.merge(_view(seed, SEEDS), 0.0)
     assert bootstrap.find_initial_replicas() == SEEDS
     assert "10.0.0.8" in peers.choose_targets("10.0.0.1", 0.0)
+
+
+def test_a_promise_counts_once_it_is_saved():
+    bootstrap = _create_bootstrap("10.0.0.1", _peers())
+    bootstrap.accept(SEEDS)
+    assert not bootstrap.promised
+    bootstrap.accept(SEEDS[:2])
+    bootstrap.record_saved(bootstrap.unsaved)
+    assert bootstrap.promised == SEEDS
+    bootstrap.accept(SEEDS[:2])
+    assert bootstrap.unsaved is None
+
+
+def test_a_front_without_a_part_in_the_first_start_promises_nothing():
+    bootstrap = _create_bootstrap("10.0.0.1", _peers(), first=False)
+    bootstrap.accept(SEEDS)
+    assert bootstrap.unsaved is None
+
+
+# CONFIG (review/7): the core was killed during its first start. All that it had
+# agreed on was in memory, and nobody could found a log any more.
+def test_a_disk_keeps_its_part_in_the_first_start(tmp_path):
+    folder = tmp_path / "data"
+    first = bootstrap_record.open_record(folder, True, SEEDS)
+    assert first.record == (SEEDS, ())
+    again = bootstrap_record.open_record(folder, False, ("10.0.0.9",))
+    assert again.record == (SEEDS, ())
+    again.save(again.record._replace(promised=SEEDS[:2]))
+    later = bootstrap_record.open_record(folder, True, ("10.0.0.9",))
+    assert later.record == (SEEDS, SEEDS[:2])
+
+
+def test_an_empty_disk_of_a_later_start_has_no_part_in_the_first(tmp_path):
+    assert bootstrap_record.open_record(tmp_path, False, SEEDS).record is None
+    assert bootstrap_record.open_record(tmp_path, False, SEEDS).record is None
+
+
+def test_a_damaged_record_gives_no_part_in_the_first_start(tmp_path, log_lines):
+    bootstrap_record.open_record(tmp_path, True, SEEDS)
+    (tmp_path / "bootstrap").write_bytes(b"odd")
+    assert bootstrap_record.open_record(tmp_path, False, SEEDS).record is None
+    (line,) = log_lines
+    assert line["message_type"] == "front:bootstrap-ignored"
+
+
+def test_a_front_without_a_disk_keeps_its_part_until_it_ends():
+    keeper = bootstrap_record.open_record(None, True, SEEDS)
+    keeper.save(keeper.record._replace(promised=SEEDS))
+    assert keeper.record == (SEEDS, SEEDS)
+    assert bootstrap_record.open_record(None, False, SEEDS).record is None
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -103,6 +103,34 @@
     asyncio.run(main())
 
 
+# CONFIG, Fault (review/7): the core was killed during its first start, and came
+# back with all its disks. It never founded a log.
+@pytest.mark.parametrize("killed_after_s", [0.0, 0.6, 1.2])
+def test_a_core_killed_at_its_first_start_founds_a_log(
+    killed_after_s, tmp_path, worker_block
+):
+    async def main():
+        open_fleet = platform_fleet.open_fleet
+        async with open_fleet(tmp_path, worker_block, False) as client:
+            fleet = client.fleet
+            core = fleet.fronts[:3]
+            while len(list(tmp_path.glob("*/identity"))) < len(core):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(killed_after_s)
+            for front in core:
+                front.kill()
+            for front in core:
+                fleet.forbid_bootstrap(front)
+                front.start()
+            async with asyncio.timeout(RECOVER_S):
+                status, _ = await client.put(3, 1)
+                assert status == 200
+                await _wait_read(client)
+                await client.wait_served()
+
+    asyncio.run(main())
+
+
 # A side process that started while its seeds were down never found the owner,
 # though its settings named others by then.
 def test_a_side_process_follows_seeds_that_change_while_it_runs(
