Let a front that stood still notice first which callers have gone

What a process handles after it has stood still is taken for new. The request and the end of its connection wait in the same socket, and the request comes first.

Ruled out: the list of side processes (confirmed, complete, 202 ms left as that owner took over) and old leases: both owners and all side processes were where the design has them.

Change: after a pause of a second or more a front sends nothing for callers for 0.1 s. Callers who are still there wait that much longer. Shorter pauses hold nothing up: a caller comes again 1.3 s after its connection broke.

--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -19,6 +19,7 @@
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import owner_heartbeats
 from skylarkcleat.front import ownership as ownership_lib
+from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
@@ -44,6 +45,7 @@
         peers: The fronts that are known.
         configuration_cache: The copy of the configuration here.
         ownership: The owner, while it is here.
+        pauses: Is ticked here.
         send: Sends a message to a process by name.
     """
 
@@ -54,6 +56,7 @@
         peers: peer_table_lib.PeerTable,
         configuration_cache: configuration_cache_lib.ConfigurationCache,
         ownership: ownership_lib.Ownership,
+        pauses: pause_lib.PauseWatch,
         send: t.Callable[[str, t.Any], None],
     ) -> None:
         self._local = local
@@ -61,9 +64,9 @@
         self._peers = peers
         self._configuration_cache = configuration_cache
         self._ownership = ownership
+        self._pauses = pauses
         self._send = send
         self._started_at = clock_lib.read_monotonic()
-        self._ticked_at = self._started_at
         self._heartbeats = owner_heartbeats.OwnerHeartbeats(
             local.name, election, peers, configuration_cache, ownership, send
         )
@@ -77,7 +80,7 @@
         """Claims the ownership when it is due and runs it while it is held."""
         while True:
             now = clock_lib.read_monotonic()
-            self._log_pause(now)
+            self._pauses.tick(now)
             previous = self._election.followed
             if self._election.tick(now):
                 self._begin_ownership(previous, now)
@@ -85,16 +88,6 @@
                 self._run_ownership(now)
             await asyncio.sleep(TICK_S)
 
-    def _log_pause(self, now: float) -> None:
-        """Logs that this process stood still or was late.
-
-        What it handles next may have waited for as long.
-        """
-        late_s = now - self._ticked_at - TICK_S
-        self._ticked_at = now
-        if late_s >= election_lib.STALL_S:
-            eliot.log_message("front:paused", late_ms=round(late_s * 1000))
-
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns the seconds until no run of a previous owner is left."""
         election = self._election
--- a/src/skylarkcleat/front/obstacle.py
+++ b/src/skylarkcleat/front/obstacle.py
@@ -12,6 +12,7 @@
     """Why no target is reachable."""
 
     NONE = ""
+    PAUSED = "this front has just stood still"
     NO_OWNER = "no owner is heard"
     NO_CONFIGURATION = "no configuration is known"
     OUTDATED_CONFIGURATION = "the configuration here is outdated"
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -25,6 +25,7 @@
 from skylarkcleat.front import log_bootstrap
 from skylarkcleat.front import log_service as log_service_lib
 from skylarkcleat.front import ownership as ownership_lib
+from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.front import peer_discovery as peer_discovery_lib
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.front import service as service_lib
@@ -91,12 +92,14 @@
         self._ownership = ownership_lib.Ownership(
             local, self._configuration_cache, self._send
         )
+        self._pauses = pause_lib.PauseWatch(election_task_lib.TICK_S, now)
         self._election_task = election_task_lib.ElectionTask(
             local,
             self._election,
             self._peers,
             self._configuration_cache,
             self._ownership,
+            self._pauses,
             self._send_any,
         )
         self._peer_discovery = peer_discovery_lib.PeerDiscovery(
@@ -119,6 +122,7 @@
                 self._election_task,
                 self._ownership,
                 self._configuration_cache,
+                self._pauses,
                 self._send_any,
             ),
             numbers,
@@ -315,11 +319,15 @@
         known = locating.OwnerRef()
         known_log = self._peers.log
         while True:
-            has_owner = self._election.has_live_owner(
-                clock_lib.read_monotonic()
-            )
+            now = clock_lib.read_monotonic()
+            is_recovering = self._pauses.is_recovering(now)
+            has_owner = self._election.has_live_owner(now)
             owner = locating.OwnerRef()
-            if has_owner and self._configuration_cache.version:
+            if (
+                has_owner
+                and not is_recovering
+                and self._configuration_cache.version
+            ):
                 owner = self._election.followed
             if owner != known:
                 known = owner
@@ -327,7 +335,7 @@
                     "front:owner", owner=owner.name, term=owner.term
                 )
                 self._job_requests.resend()
-            if not owner.term:
+            if not owner.term and not is_recovering:
                 self._job_requests.give_up_expired()
             if self._peers.log[:2] != known_log[:2]:
                 known_log = self._peers.log
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -13,6 +13,7 @@
 from skylarkcleat.front import log_service as log_service_lib
 from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.front import ownership as ownership_lib
+from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.wire import session as session_lib
@@ -28,10 +29,12 @@
         election_task: election_task_lib.ElectionTask,
         ownership: ownership_lib.Ownership,
         configuration_cache: configuration_cache_lib.ConfigurationCache,
+        pauses: pause_lib.PauseWatch,
         send: t.Callable[[str, t.Any], None],
     ) -> None:
         self._local = local
         self._election = election
+        self._pauses = pauses
         self._election_task = election_task
         self._ownership = ownership
         self._configuration_cache = configuration_cache
@@ -43,7 +46,10 @@
 
     def find_obstacle(self) -> obstacle_lib.Obstacle:
         """Returns why no job can be sent to an owner."""
-        if not self._election.has_live_owner(clock_lib.read_monotonic()):
+        now = clock_lib.read_monotonic()
+        if self._pauses.is_recovering(now):
+            return obstacle_lib.Obstacle.PAUSED
+        if not self._election.has_live_owner(now):
             return obstacle_lib.Obstacle.NO_OWNER
         if not self._configuration_cache.version:
             # After all processes restart, it comes from the leader of the log.
--- a/src/skylarkcleat/timeline/captured.py
+++ b/src/skylarkcleat/timeline/captured.py
@@ -65,6 +65,7 @@
 }
 
 _OBSTACLES = {
+    obstacle_lib.Obstacle.PAUSED: Cause.NO_OWNER,
     obstacle_lib.Obstacle.NO_OWNER: Cause.NO_OWNER,
     obstacle_lib.Obstacle.NO_CONFIGURATION: Cause.NO_CONFIGURATION,
     obstacle_lib.Obstacle.OUTDATED_CONFIGURATION: Cause.NO_CONFIGURATION,
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -12,6 +12,7 @@
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import election_task as election_task_lib
+from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
@@ -45,6 +46,7 @@
         peer_table_lib.PeerTable((), random.Random(1)),
         configuration_cache_lib.ConfigurationCache(None),
         ownership,
+        pause_lib.PauseWatch(election_task_lib.TICK_S, 0.0),
         lambda name, message: sent.append((name, message)),
     )
     created._heartbeats.begin(0.0)
