End a request that can't be sent on by itself

Cause: a front sends its open requests in one pass, and one that can't be encoded stayed among them. Each pass failed at it, until the process ended after 30 errors in 10 s. aiohttp keeps the bytes of a header that are no UTF-8 as surrogates.

Ruled out: the owner and the session (the error is in the front's own encoder, before anything is sent).

Change: a request that fails to be sent is ended alone, as not run if it was never sent; a request records its new term once it is sent. The ingress answers 400 if host or path is no text. The thread that writes the log escapes fields that can't be encoded; it ended at the first.

--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -14,10 +14,12 @@
 import eliot
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import supervision
 from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.protocol import scheduling
 
 _STOPPING = "this front is stopping"
+_UNSENDABLE = "the request can't be sent on"
 
 
 class SendAttempt(t.NamedTuple):
@@ -84,7 +86,7 @@
         self.give_up_at = give_up_at
         self.sent_term = 0
         self.previous_term = 0
-        self.earlier_terms: set[int] = set()
+        self.earlier_terms: frozenset[int] = frozenset()
         self.was_resent = False
         self.is_answered = False
         self.reply: asyncio.Future[scheduling.Reply]
@@ -92,11 +94,21 @@
         self.sent: asyncio.Future[None]
         self.sent = asyncio.get_running_loop().create_future()
 
-    def change_term(self, term: int) -> None:
-        """Records that it is about to be sent to a target in another term."""
-        if self.previous_term:
-            self.earlier_terms.add(self.previous_term)
-        self.previous_term = self.sent_term
+    def list_former_terms(self, term: int) -> tuple[int, frozenset[int]]:
+        """Returns the terms in which it was sent before, other than one.
+
+        Returns:
+            The last of them, 0 if there is none, and all before that.
+        """
+        if self.sent_term in (0, term):
+            return self.previous_term, self.earlier_terms
+        earlier = (self.earlier_terms | {self.previous_term}) - {0}
+        return self.sent_term, earlier
+
+    def record_sent(self, term: int) -> None:
+        """Records that it was sent to the target in a term."""
+        former = self.list_former_terms(term)
+        self.previous_term, self.earlier_terms = former
         self.sent_term = term
 
 
@@ -279,17 +291,24 @@
         return scheduling.Reply(number, verdict, detail)
 
     def _forward(self, number: int, request: _OpenRequest) -> None:
+        """Sends a request; one that can't be sent is ended by itself."""
+        try:
+            self._try_forward(number, request)
+        except Exception as error:
+            supervision.log_unexpected("send a request", error)
+            self._unsent.discard(number)
+            if not request.reply.done():
+                self._end(number, request, _UNSENDABLE)
+
+    def _try_forward(self, number: int, request: _OpenRequest) -> None:
         term = self._target.find_term()
         if not term or request.reply.done():
             return
         was_sent = request.sent_term > 0
-        if request.sent_term != term:
-            request.change_term(term)
         # A request that is sent again in the same term tells the same.
-        previous_term = request.previous_term or (term if was_sent else 0)
-        expiries = [
-            self._target.find_expiry_s(old) for old in request.earlier_terms
-        ]
+        former_term, earlier_terms = request.list_former_terms(term)
+        previous_term = former_term or (term if was_sent else 0)
+        expiries = [self._target.find_expiry_s(old) for old in earlier_terms]
         attempt = SendAttempt(
             number,
             clock_lib.read_monotonic() - request.received_at,
@@ -299,6 +318,7 @@
             max(expiries, default=0.0),
         )
         self._target.send(request.build(attempt))
+        request.record_sent(term)
         request.was_resent = was_sent
         self._unsent.discard(number)
         if not request.sent.done():
--- a/src/skylarkcleat/logs.py
+++ b/src/skylarkcleat/logs.py
@@ -176,7 +176,7 @@
         return lost
 
     def _write_line(self, message: dict[str, t.Any]) -> None:
-        line = self._encoder.encode({**message, "process": self._process})
+        line = self._encode({**message, "process": self._process})
         try:
             self._file.write(line + b"\n")
             if self._lines.empty():
@@ -184,6 +184,14 @@
         except OSError:
             self.lost += 1
 
+    def _encode(self, message: dict[str, t.Any]) -> bytes:
+        """Encodes a line; fields that can't be encoded are escaped."""
+        try:
+            return self._encoder.encode(message)
+        except (msgspec.MsgspecError, UnicodeError, TypeError, ValueError):
+            escaped = {key: ascii(value) for key, value in message.items()}
+            return self._encoder.encode(escaped)
+
 
 def get_task_id(action: eliot.Action | None) -> str:
     """Returns what another process continues an action with.
--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -41,6 +41,8 @@
 
     async def handle_job(self, request: web.BaseRequest) -> web.Response:
         """Answers a caller's request about jobs."""
+        if not _is_text(request.headers.get("Host", ""), request.path):
+            return self._respond(400, {"error": "host or path is not UTF-8"})
         host = request.headers.get("Host", "").partition(":")[0].lower()
         found = _JOB_PATH.fullmatch(request.path)
         if request.method == "POST":
@@ -115,6 +117,16 @@
         return response
 
 
+def _is_text(*values: str) -> bool:
+    """Returns whether values can be encoded; aiohttp keeps bytes that can't."""
+    try:
+        for value in values:
+            value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _read_caller_timeout(request: web.BaseRequest) -> int:
     text = request.headers.get(names.DEADLINE_HEADER, "")
     is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -139,6 +139,40 @@
     assert _run_call(act) is scheduling.Verdict.COMPLETED
 
 
+class PickyOwner(FakeOwner):
+    """Can't be sent requests of one number, as if they couldn't be encoded."""
+
+    def send(self, message):
+        if message.request == 1:
+            raise UnicodeEncodeError("utf-8", "\udcff", 0, 1, "odd")
+        super().send(message)
+
+
+# Fault (review/8): a front tried to send a request whose Host was no UTF-8 over
+# and over, until it ended and cut off all others.
+@pytest.mark.parametrize("has_owner", [True, False])
+def test_a_request_that_cannot_be_sent_ends_alone(has_owner, log_lines):
+    async def main():
+        owner = PickyOwner()
+        owner.term = int(has_owner)
+        requests = _create_requests(owner)
+        odd, sound = (
+            asyncio.create_task(requests.call(_build, 5, 5, 5)) for _ in "12"
+        )
+        await asyncio.sleep(0)
+        owner.term = 1
+        requests.send_unsent()
+        assert (await odd).verdict is scheduling.Verdict.NOT_RUN
+        requests.resend()
+        assert {message.request for message in owner.sent} == {2}
+        requests.handle_reply(scheduling.Reply(2, scheduling.Verdict.COMPLETED))
+        assert (await sound).verdict is scheduling.Verdict.COMPLETED
+
+    asyncio.run(main())
+    kinds = [line["message_type"] for line in log_lines]
+    assert kinds.count("process:unexpected-error") == 1
+
+
 def test_request_that_was_never_sent_is_not_run(log_lines):
     async def main():
         owner = FakeOwner()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -92,6 +92,16 @@
     assert logs.get_task_id(None) == ""
 
 
+# The thread that writes the log ended at a text that can't be encoded.
+def test_a_field_that_cannot_be_encoded_is_escaped(open_log):
+    with open_log():
+        eliot.log_message(message_type="odd", runner="i-\udcff")
+        eliot.log_message(message_type="next", runner="i-1")
+    odd, sound = open_log.read()
+    assert "udcff" in odd["runner"]
+    assert sound["runner"] == "i-1"
+
+
 def test_lines_that_were_lost_are_counted_in_the_log(open_log, monkeypatch):
     monkeypatch.setattr(logs, "MAX_WAITING_LINES", 1)
     log = open_log()
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests import fake_runner
+from tests import platform_fleet
 from tests import test_platform_odd_bodies as bodies
 
 ODD_S = 1.0
@@ -125,3 +126,44 @@
             await check_served(client)
 
     run_with_configured_fleet(act)
+
+
+ODD_REQUESTS = (
+    b"POST /lohu/%s HTTP/1.1\r\nHost: nony.ex\xffmple\r\n",
+    b"POST /lohu/\xff/%s HTTP/1.1\r\nHost: nony.example\r\n",
+    b"GET /lohu/\xff/%s HTTP/1.1\r\nHost: nony.ex\xffmple\r\n",
+)
+ENDED_AFTER_S = 5.0
+"""A loop that fails 30 times in 10 s ends its process."""
+
+
+# Fault (review/8): a front that could not send on what it had taken ended, and
+# cut off its callers, if the host or the path of a request was no UTF-8.
+def test_requests_that_are_no_text_end_no_front(tmp_path, worker_block):
+    async def main():
+        open_fleet = platform_fleet.open_fleet
+        async with open_fleet(tmp_path, worker_block, False) as client:
+            await client.wait_ready()
+            # Without a configuration a request waits to be sent on.
+            for number in range(len(client.fleet.fronts)):
+                for odd in ODD_REQUESTS:
+                    url = client.fleet.front_url(number, "")
+                    answer = await _send_raw(url, odd % bodies.JOB_ID.encode())
+                    assert answer.split()[1] == b"400"
+            await asyncio.sleep(ENDED_AFTER_S)
+            await client.configure()
+            await check_served(client)
+
+    asyncio.run(main())
+
+
+async def _send_raw(url, head):
+    """Sends a job under any request line and headers; returns the answer."""
+    host, port = url.removeprefix("http://").split(":")
+    body = json.dumps(bodies.JOB).encode()
+    reader, writer = await asyncio.open_connection(host, int(port))
+    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+    writer.write(head + length + body)
+    answer = await asyncio.wait_for(reader.read(100), 10.0)
+    writer.close()
+    return answer
