Take a report for the runner's only if it has all its fields

Cause: the decoder knew only the fields that the project uses, so that nobody noticed that others were missing or of another type. The users' page says that such a report names no runner to use.

Change: the decoder wants every field that the page lists, with its type; born may be missing, as in the page's example.

--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -83,21 +83,30 @@
 class _Capacity(msgspec.Struct, rename="kebab"):
     cpu: json_body.Count
     mem_mb: json_body.Count
-    gpu: json_body.Count = 0
+    gpu: json_body.Count
 
 
 class _Heartbeat(msgspec.Struct, rename="kebab"):
+    """A report with all its fields, those that are not used here included.
+
+    One that lacks a field, or has it with another type, is not a runner's.
+    """
+
     service: json_body.Label
     address: json_body.Label
     zone: json_body.Label
+    version: json_body.Label
+    slots: json_body.Count
     state: t.Literal["ready", "draining"]
+    cold_remaining_ms: json_body.Number
     capacity: _Capacity
-    sequence: json_body.Count
-    born: json_body.Count = 0
     labels: t.Annotated[
         tuple[json_body.Label, ...], msgspec.Meta(max_length=MAX_LABELS)
-    ] = ()
-    clock_ms: json_body.Count = 0
+    ]
+    clock_ms: json_body.Count
+    sequence: json_body.Count
+    born: json_body.Count = 0
+    remaining_ms: json_body.Number = 0
 
 
 class _Answer(msgspec.Struct, rename="kebab"):
--- a/tests/fake_runner.py
+++ b/tests/fake_runner.py
@@ -27,6 +27,7 @@
     "version": "v1",
     "slots": 8,
     "state": "ready",
+    "cold-remaining-ms": 0,
     "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
     "labels": ["a", "r1-3"],
     "clock-ms": 482113,
--- a/tests/test_platform_odd_bodies.py
+++ b/tests/test_platform_odd_bodies.py
@@ -146,6 +146,30 @@
         decode(body)
 
 
+# LIMIT (review/9): a report of another writer was taken for the runner's, with
+# four times its capacity, as its odd fields were not looked at.
+@pytest.mark.parametrize("field", [*fake_runner.HEARTBEAT, "cpu", "gpu"])
+def test_a_report_that_lacks_a_field_is_of_another_writer(field):
+    body = json.loads(json.dumps(fake_runner.HEARTBEAT))
+    place = body if field in body else body["capacity"]
+    del place[field]
+    if field == "born":
+        # The platform's example has none either.
+        assert not decode_heartbeat(json.dumps(body).encode()).runner.born_ms
+        return
+    with pytest.raises(runner_body.RunnerError):
+        decode_heartbeat(json.dumps(body).encode())
+
+
+@pytest.mark.parametrize("field", fake_runner.HEARTBEAT)
+def test_a_report_with_a_field_of_another_type_is_of_another_writer(field):
+    is_text = isinstance(fake_runner.HEARTBEAT[field], str)
+    for odd in (None, {}, True, 7 if is_text else "eight"):
+        body = fake_runner.HEARTBEAT | {field: odd}
+        with pytest.raises(runner_body.RunnerError):
+            decode_heartbeat(json.dumps(body).encode())
+
+
 def test_an_unreadable_answer_keeps_its_status():
     for odd in ODD_VALUES.values():
         assert decode_answer(odd).status == 200
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -40,5 +40,4 @@
 def test_wire_name_is_used_by_the_adapter(name):
     texts = [p.read_text() for p in (SOURCE / "platform").glob("*.py")]
     kebab = name.replace("-", "_")
-    unused = name in ("cold-remaining-ms",)
-    assert unused or any(name in text or kebab in text for text in texts)
+    assert any(name in text or kebab in text for text in texts)
