Let a side list outlast the claim of the jobs in a large fleet

Cause: a list counted for 0.6 s after the owner had confirmed it. A heartbeat before the loss, 0.35 s until it is missed, and the views of others until nobody tells of the owner take up to 0.65 s with many fronts. And once a search is late, each front took its own rank as it is beside others' as they had shown it a moment before.

Change: a list counts for 0.8 s, and a search is late 0.2 s before that. Late in a search nobody's rank counts as outdated, whatever a view still says.

The names on the wire have the new message.

A new side process waits for a front that falls silent at the same time for 1.3 s at most, in place of 1.1 s.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -47,7 +47,7 @@
 """How much longer than others a late owner that handed over its jobs waits at
 most before it claims them again."""
 
-LATE_SEARCH_S = 0.5
+LATE_SEARCH_S = lease.SIDE_LIST_LEASE_S - SEARCH_AFTER_S
 """After a search of this length nobody's list of the side processes of the lost
 owner counts as complete any more."""
 
--- a/src/skylarkcleat/discovery/rank.py
+++ b/src/skylarkcleat/discovery/rank.py
@@ -59,14 +59,27 @@
         return all(self._precedes(other, is_late) for other in others)
 
     def _precedes(self, other: Candidate, is_late: bool) -> bool:
-        if self._find_key() < other._find_key():
+        if self._find_key(is_late) < other._find_key(is_late):
             return True
-        return is_late and (self.rank, self.name) < (other.rank, other.name)
+        mine = (self._plain_rank, self.name)
+        return is_late and mine < (other._plain_rank, other.name)
 
-    def _find_key(self) -> tuple[int, int, bool, int, str]:
-        is_outdated = _WEAK_RANK < self.rank < UNSUITABLE_RANK
-        rank = self.rank - OUTDATED_OFFSET * is_outdated
+    @property
+    def _is_outdated(self) -> bool:
+        return _WEAK_RANK < self.rank < UNSUITABLE_RANK
+
+    @property
+    def _plain_rank(self) -> int:
+        return self.rank - OUTDATED_OFFSET * self._is_outdated
+
+    def _find_key(self, is_late: bool) -> tuple[int, int, bool, int, str]:
+        """Returns what candidates are ordered by.
+
+        Late in a search all lists are out of date, whatever views still say.
+        """
+        rank = self._plain_rank
         level = sum(rank > limit for limit in (_DISK_RANK, _WEAK_RANK))
+        is_outdated = self._is_outdated and not is_late
         return level, -self.followed_term, is_outdated, rank, self.name
 
 
--- a/src/skylarkcleat/scheduling/lease.py
+++ b/src/skylarkcleat/scheduling/lease.py
@@ -42,12 +42,12 @@
 Longer than `FRONT_LEASE_S`, so that the previous owner detects the loss of the
 front first and starts no more of its jobs."""
 
-SIDE_LIST_LEASE_S = OWNER_TIMEOUT_S + 0.25
+SIDE_LIST_LEASE_S = OWNER_TIMEOUT_S + 0.45
 """How long a front's list of an owner's side processes counts as complete after
 the owner has confirmed it.
 
-A front that takes over within this time can place tasks at once. Longer than
-the time in which an owner is missed, by a few heartbeats."""
+A front that takes over within this time can place tasks at once. In a large
+fleet one claims the jobs up to 0.65 s after the last heartbeat."""
 
 MAX_SIDE_LIST_LEASE_S = 2.0
 """The longest that a list counts as complete after the front's reply that the
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -93,6 +93,7 @@
     "Revoked",
     "RunnerLost",
     "RunnerSilent",
+    "SideNamesConfirmed",
     "Sides",
     "Start",
     "Stop",
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -85,6 +85,21 @@
     assert world.searches <= most
 
 
+# The lists of many fronts were out of date by the time at which one of them
+# claims, and then all of them claimed at once.
+@pytest.mark.parametrize("fronts", [10, 20, 40])
+def test_one_front_with_a_complete_list_succeeds_in_a_large_fleet(
+    fronts, monkeypatch, log_lines
+):
+    plays_lib.simulate_searches(fronts, 40, 1.0, monkeypatch)
+    takeovers = [
+        line["complete"]
+        for line in log_lines
+        if line["message_type"] == "front:takeover" and line["former_term"]
+    ]
+    assert takeovers == [True]
+
+
 # An owner waited for a side process whose runner's first answers were lost.
 @pytest.mark.parametrize("seed", range(4))
 def test_lost_answers_of_runners_delay_no_takeover(seed, monkeypatch):
