Sync a data folder before anything in it counts as durable

A replica is killed while it syncs, and starts again: it reads what it had written from the system's cache, acknowledges it to the leader, and counts it in elections. If power is then lost, an acknowledged change may be gone (LOST). And with a record that was never synced before one whose sync is cut off, the folder counts as damaged, as each is kept or lost by itself; the front does not start any more.

Cause: the folder was only read at the start. Each later sync covered what came before, but nothing did until then.

Ruled out: the files that are replaced whole; their content is synced before they get their name. The name itself is not, if the process is killed in between, so the folder is synced, too.

Change: opening a folder syncs its segment and the folder, 2 syncs a start.

Test: what a folder returns is durable (no sync before).

--- a/src/skylarkcleat/consensus/storage.py
+++ b/src/skylarkcleat/consensus/storage.py
@@ -153,6 +153,9 @@
             )
         snapshot = self._read_snapshot()
         stored = self._read_segment(record.identity, snapshot)
+        # A process that was killed may have written this and not synced it.
+        os.fsync(self._file.fileno())
+        files.sync_folder(self._folder)
         return stored, record.may_bootstrap
 
     def _create(self, name: str) -> _IdentityRecord:
--- a/tests/test_consensus_storage.py
+++ b/tests/test_consensus_storage.py
@@ -1,5 +1,7 @@
 """Data folders after crashes, damage and lost files."""
 
+import os
+
 import pytest
 
 from skylarkcleat.consensus import entry as entry_lib
@@ -172,3 +174,26 @@
         assert opened.stored.snapshot is None
         assert not opened.may_bootstrap
     assert list(kept.glob("segment-*"))
+
+
+@pytest.fixture
+def synced(monkeypatch):
+    """The files and folders that were synced, by their inode."""
+    inodes = []
+    fsync = os.fsync
+
+    def record(descriptor):
+        inodes.append(os.fstat(descriptor).st_ino)
+        fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", record)
+    return inodes
+
+
+# LOST: what a process had written as it was killed, and had not synced, counted
+# as durable after its restart. It was acknowledged, and lost with the power.
+def test_what_a_folder_returns_is_durable(folder, synced):
+    with storage.create_storage(folder, "a") as opened:
+        assert opened.stored.entries == make_entries(1, 9)
+        assert find_segment(folder).stat().st_ino in synced
+        assert folder.stat().st_ino in synced
