Let a front with a damaged disk come back with an empty log

What operators saw: a front whose segment file was damaged ended at each start, for good. Its disk counted as lost until somebody emptied the folder by hand.

Cause: `open_folder` sets a damaged folder aside only if the settings name peers. Fronts find their peers while they run (`is_open`), so theirs name none, and the replica refused to start.

Ruled out: a replica without peers, which holds the only copy; it still refuses to start. That an empty replica counts as one which has lost nothing: a front without its disk is told apart by its empty folder, as after the loss of a disk.

Change: folders of replicas that discover their peers are set aside, too.

Test: a front with one flipped bit in its segment is back with version 3, and another one may then be lost.

--- a/src/skylarkcleat/consensus/folder.py
+++ b/src/skylarkcleat/consensus/folder.py
@@ -12,8 +12,9 @@
 def open_folder(settings: settings_lib.Settings) -> storage_lib.Storage:
     """Opens a replica's data folder.
 
-    If the folder is damaged and the replica has peers, its files are moved
-    away, and the replica starts empty and gets the log from its peers.
+    If the folder is damaged and the replica has peers, or finds them while it
+    runs, its files are moved away. It then starts empty, and gets the log from
+    its peers.
 
     Raises:
         StorageError: The folder cannot be used.
@@ -21,7 +22,7 @@
     try:
         return storage_lib.create_storage(settings.folder, settings.name)
     except errors.DamagedError as error:
-        if not settings.peers:
+        if not settings.peers and not settings.is_open:
             raise
         reason = str(error)
     kept = storage_lib.set_aside(settings.folder, settings.name)
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -67,7 +67,7 @@
     run_with_configured_fleet(act)
 
 
-async def _wait_read(client, front=0):
+async def _wait_read(client, front=0, version=1):
     """Waits until the configuration is read back at a front."""
     while True:
         try:
@@ -75,7 +75,7 @@
         except aiohttp.ClientError:
             status = 0
         if status == 200:
-            assert found["version"] == 1
+            assert found["version"] == version
             return
         await asyncio.sleep(0.1)
 
@@ -131,6 +131,34 @@
     asyncio.run(main())
 
 
+# A front whose disk was damaged ended at each start, for good.
+def test_a_front_with_a_damaged_disk_comes_back_with_an_empty_log(
+    run_with_configured_fleet,
+):
+    async def act(client):
+        fleet = client.fleet
+        front = fleet.fronts[1]
+        for version in (2, 3):
+            assert (await client.put(0, version))[0] == 200
+        front.kill()
+        (segment,) = fleet.folder.glob(f"data-{front.ip}/segment-*")
+        data = bytearray(segment.read_bytes())
+        data[len(data) // 3] ^= 0x40
+        segment.write_bytes(data)
+        fleet.forbid_bootstrap(front)
+        front.start()
+        await front.wait_logged("consensus:set-aside")
+        async with asyncio.timeout(RECOVER_S):
+            await _wait_read(client, 1, version=3)
+        await asyncio.sleep(CATCH_UP_S)
+        # The repaired disk counts: another one may be lost.
+        fleet.fronts[0].kill()
+        assert (await _put_soon(client, 1, 4))[0] == 200
+        assert not front.has_ended
+
+    run_with_configured_fleet(act)
+
+
 # A side process that started while its seeds were down never found the owner,
 # though its settings named others by then.
 def test_a_side_process_follows_seeds_that_change_while_it_runs(
