Take up jobs after all other messages, and refuse those that are late

Cause, from the code: fronts' replies to the owner's heartbeats lay behind their jobs in one queue. Once they waited for over 0.3 s (FRONT_LEASE_S) no front counted as following, so that every job ended at once as "its caller has gone" (age_ms 3: the age counted from when the job was taken up); with the next reply each front was asked to submit all its open jobs again, which kept the queue full. Each disconnect was also searched for among all jobs, and each tick looked twice at every job.

Ruled out: that only callers who have gone are to blame. They come second: most of the jobs had a front whose reply was in the queue.

Change: submissions wait in an intake of their own and are taken up for 5 ms at a time; leases, replies, reports, cancels and disconnects are handled as they are read. While the intake is congested the newest job is taken up first, and those that can't end within their objective are refused at once as not run. A submission's age includes its way: it echoes the owner's last heartbeat, so no two clocks are compared. Waiters are found by their request, and jobs without a caller of which nothing has run aren't kept.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -73,6 +73,7 @@
         rank: Its suitability; `rank.UNSUITABLE_RANK` once it is about to stop.
         followed: The owner that this front follows; may be the front itself.
         last_seen_at: When it last received that owner's heartbeat, in seconds.
+        heartbeat_at: `sent_at` of that heartbeat; 0 without one.
         inherited: The terms of the owners whose jobs were handed over to the
             followed one, directly or through others.
         side_list: The side processes of the followed owner.
@@ -88,6 +89,7 @@
         self.rank = rank
         self.followed = locating.OwnerRef()
         self.last_seen_at = float("-inf")
+        self.heartbeat_at = 0.0
         self._heartbeat_age = heartbeat_age.HeartbeatAge()
         self._waited_s = 0.0
         self.inherited: tuple[int, ...] = ()
@@ -199,6 +201,7 @@
             return None
         self.followed = locating.OwnerRef(sender, heartbeat.term)
         self.last_seen_at = now
+        self.heartbeat_at = heartbeat.sent_at
         self._waited_s = self._heartbeat_age.measure(
             heartbeat.term, heartbeat.sent_at, now
         )
@@ -247,6 +250,7 @@
         self._has_heard = False
         self.followed = locating.OwnerRef(successor, self.followed.term)
         self.last_seen_at = now
+        self.heartbeat_at = 0.0
         self._followers.clear()
 
     def is_outranked_by(self, name: str) -> bool:
@@ -286,6 +290,7 @@
         self.followed = locating.OwnerRef(self._local_name, term)
         self.inherited = ()
         self.last_seen_at = now
+        self.heartbeat_at = 0.0
         self._highest_term = term
         self._followers.clear()
 
--- a/src/skylarkcleat/front/job_requests.py
+++ b/src/skylarkcleat/front/job_requests.py
@@ -53,6 +53,8 @@
             round(attempt.expires_in_s * 1000),
             round(attempt.earlier_expires_in_s * 1000),
             first_queue if attempt.previous_term else None,
+            attempt.heartbeat.sent_at,
+            round(attempt.heartbeat.age_s * 1000),
         )
 
     timeout_s = max(caller_timeout_ms / 1000 - SUBMIT_MARGIN_S, SUBMIT_MARGIN_S)
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -9,6 +9,7 @@
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.configuration import content
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import submission_intake
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
@@ -46,6 +47,9 @@
         self._configuration_cache = configuration_cache
         self._send = send
         self._owner: owner_lib.Owner | None = None
+        self._intake = submission_intake.SubmissionIntake(
+            configuration_cache, send
+        )
 
     @property
     def sides(self) -> tuple[str, ...]:
@@ -80,6 +84,7 @@
         """Takes over the jobs of another owner in addition to its own."""
         eliot.log_message("owner:extended", term=term, former_term=self.term)
         self.term = term
+        self._intake.clear()
         self._owner.extend(sides, clock_lib.read_monotonic())
 
     def end(self, reason: str) -> tuple[str, ...]:
@@ -94,6 +99,7 @@
                 sides=len(sides),
             )
         self._owner = None
+        self._intake.clear()
         self.term = 0
         return sides
 
@@ -105,12 +111,36 @@
         if self._owner is None:
             return
         if self._owner.record_heartbeat_reply(front, reply.sent_at, now):
+            self._intake.discard_front(front.name)
             self._send(front, owning.Resubmit(self.term))
 
+    @property
+    def has_intake(self) -> bool:
+        """Whether submissions wait to be taken up."""
+        return len(self._intake) > 0
+
+    def defer(
+        self, peer: session_lib.Endpoint, message: scheduling.Submit
+    ) -> None:
+        """Keeps a submission until there is time to take it up.
+
+        Only jobs wait so: leases, reports and the ends of calls don't.
+        """
+        if self._owner is None or message.term != self.term:
+            self._refuse(peer, message)
+        else:
+            self._intake.add(peer, message)
+
+    def take_up(self, until: float) -> None:
+        """Takes up submissions that wait, until a time in seconds."""
+        self._intake.take_up(until, self._handle_request)
+
     def receive(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         """Handles a message for the owner; refuses it without one."""
         if self._owner is None:
             self._refuse(peer, message)
+        elif isinstance(message, scheduling.Submit) and self.has_intake:
+            self.defer(peer, message)
         elif isinstance(message, scheduling.Submit | scheduling.JobRequest):
             self._handle_request(peer, message)
         elif isinstance(message, leasing.Register):
@@ -160,7 +190,12 @@
         queue = match.queue if match and not match.rest else None
         if isinstance(message, scheduling.Submit):
             self._handle_submission(peer, message, queue)
-        elif message.job:
+            return
+        # A job precedes what is asked about it.
+        pending = self._intake.take_job(message.job)
+        if pending is not None:
+            self._handle_request(pending.peer, pending.message)
+        if message.job:
             self._answer_query(peer, message, queue)
         elif queue is None:
             self._refuse_unknown_queue(peer, message.request)
@@ -229,7 +264,8 @@
         now = clock_lib.read_monotonic()
         owner = self._owner
         if isinstance(message, scheduling.Abandon):
-            owner.abandon(peer, message.request)
+            if not self._intake.discard(peer, message.request):
+                owner.abandon(peer, message.request)
         elif isinstance(message, leasing.Renew):
             owner.renew(peer, message, now)
         elif isinstance(message, leasing.SideReport):
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -46,6 +46,10 @@
 """A front that starts waits for messages of the others before it claims."""
 
 TARGET_POLL_S = 0.02
+TAKE_UP_S = 0.005
+"""How long the owner takes up jobs before it handles other messages: a small
+part of the shortest lease, 0.3 s."""
+
 _DRAIN_POLL_S = 0.05
 
 
@@ -254,10 +258,16 @@
 
     async def _receive_events(self) -> None:
         while True:
-            self._contain_event(await self._hub.events.get())
+            if self._ownership.has_intake:
+                # Lets other tasks run and the sockets be read.
+                await asyncio.sleep(0)
+            else:
+                self._contain_event(await self._hub.events.get())
             while not self._hub.events.empty():
                 self._contain_event(self._hub.events.get_nowait())
             try:
+                until = clock_lib.read_monotonic() + TAKE_UP_S
+                self._ownership.take_up(until)
                 self._ownership.place_and_send()
             except Exception as error:
                 supervision.log_unexpected("place tasks", error)
@@ -285,6 +295,8 @@
             self._handle_reply(message)
         elif isinstance(message, scheduling.LogMessage):
             self._log_service.receive(peer, message)
+        elif isinstance(message, scheduling.Submit):
+            self._ownership.defer(peer, message)
         else:
             self._ownership.receive(peer, message)
 
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -22,6 +22,18 @@
 _UNSENDABLE = "the request can't be sent on"
 
 
+class LastHeartbeat(t.NamedTuple):
+    """The last heartbeat of a target, from which it tells a request's age.
+
+    Attributes:
+        sent_at: The target's clock as it sent it, in seconds; 0 without one.
+        age_s: How long ago it was handled here, in seconds.
+    """
+
+    sent_at: float = 0.0
+    age_s: float = 0.0
+
+
 class SendAttempt(t.NamedTuple):
     """One attempt to send a request to its target.
 
@@ -33,6 +45,7 @@
             than this one if there is one; 0 if it was not sent yet.
         expires_in_s: Seconds until nothing of it can run under that term.
         earlier_expires_in_s: The same for the terms before that one.
+        heartbeat: The target's last heartbeat.
     """
 
     number: int
@@ -41,6 +54,7 @@
     previous_term: int
     expires_in_s: float
     earlier_expires_in_s: float
+    heartbeat: LastHeartbeat
 
 
 BuildMessage = t.Callable[[SendAttempt], t.NamedTuple]
@@ -69,6 +83,10 @@
     def find_expiry_s(self, previous_term: int) -> float:
         """Returns the seconds until no run of a previous target is left."""
 
+    def find_heartbeat(self) -> LastHeartbeat:
+        """Returns the target's last heartbeat; none by default."""
+        return LastHeartbeat()
+
     @abc.abstractmethod
     def send(self, message: t.NamedTuple) -> None:
         """Sends a message to the current target."""
@@ -317,6 +335,7 @@
             previous_term,
             self._target.find_expiry_s(previous_term) if previous_term else 0.0,
             max(expiries, default=0.0),
+            self._target.find_heartbeat(),
         )
         self._target.send(request.build(attempt))
         request.record_sent(term)
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -67,6 +67,13 @@
         """Returns the seconds until no run of a previous owner is left."""
         return self._election_task.find_expiry_s(previous_term)
 
+    def find_heartbeat(self) -> requests_lib.LastHeartbeat:
+        """Returns the owner's last heartbeat; none if it is this front."""
+        if not self._election.heartbeat_at:
+            return requests_lib.LastHeartbeat()
+        age_s = clock_lib.read_monotonic() - self._election.last_seen_at
+        return requests_lib.LastHeartbeat(self._election.heartbeat_at, age_s)
+
     def send(self, message: t.NamedTuple) -> None:
         """Sends a message to the owner, preceded by a newer configuration."""
         owner = self._election.followed.name
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -93,6 +93,9 @@
             to before that one.
         queue: The queue to which it was first sent, if it was sent before: it
             stays in that queue if the configuration has lost it since.
+        heartbeat_at: `sent_at` of the owner's last heartbeat that the front
+            had handled; 0 if it had handled none.
+        since_heartbeat_ms: How long ago it had, in milliseconds.
     """
 
     request: int
@@ -106,12 +109,29 @@
     previous_expires_in_ms: int = 0
     earlier_expires_in_ms: int = 0
     queue: content.Queue | None = None
+    heartbeat_at: float = 0.0
+    since_heartbeat_ms: int = 0
 
     @property
     def was_sent(self) -> bool:
         """Whether a previous owner may have started tasks of the job."""
         return self.previous_term > 0
 
+    def find_transit_s(self, now: float) -> float:
+        """Returns how long ago the front sent it at most, in seconds.
+
+        It was sent after the owner's own heartbeat, by the time that the front
+        had had it: no two clocks are compared, and what has waited in sockets
+        and queues counts.
+
+        Args:
+            now: The owner's clock, in seconds.
+        """
+        if not self.heartbeat_at:
+            return 0.0
+        sent_at = self.heartbeat_at + self.since_heartbeat_ms / 1000
+        return max(0.0, now - sent_at)
+
 
 class Abandon(t.NamedTuple):
     """Reports that the caller of a submission has disconnected."""
--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -157,6 +157,11 @@
         """Whether every task is done."""
         return all(task.state is TaskState.DONE for task in self.tasks)
 
+    @property
+    def is_forgotten(self) -> bool:
+        """Whether nothing of it has run, and nobody waits for it."""
+        return not (self.waiters or self.started or self.may_have_run)
+
     def record(
         self, task: str, run: int, side: str, event: str, now: float
     ) -> None:
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -73,7 +73,10 @@
         may resubmit them there.
         """
         jobs = self._state.jobs
-        jobs.record_attended(lambda job: self._state.is_attended(job, now), now)
+        followers = self._state.followers
+        jobs.record_attended(
+            lambda front: followers.is_following(front, now), now
+        )
         is_disputed = self._state.followers.has_missing_front(now)
         keep_s = 0.0 if is_disputed else job_table_lib.ABANDONED_RETENTION_S
         for job in jobs.list_abandoned(now, keep_s):
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -11,6 +11,7 @@
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import recent_outcomes as recent_outcomes_lib
 from skylarkcleat.scheduling import speed as speed_lib
+from skylarkcleat.wire import session as session_lib
 
 ABANDONED_RETENTION_S = 2.5
 """How long a job without a caller is kept; callers resend after 1.3 s."""
@@ -27,8 +28,7 @@
     )
 )
 
-WaiterPredicate = collections.abc.Callable[[active_job.Waiter], bool]
-JobPredicate = collections.abc.Callable[[active_job.ActiveJob], bool]
+PeerPredicate = collections.abc.Callable[[session_lib.Endpoint], bool]
 
 
 class JobTable:
@@ -48,6 +48,8 @@
         self.recent = recent_outcomes_lib.RecentOutcomes(now)
         self.estimates = speed_lib.EstimateFactors()
         self.needs_placement = False
+        self._jobs_by_waiter: dict[active_job.Waiter, str] = {}
+        self._unattended: dict[str, active_job.ActiveJob] = {}
 
     def add(
         self, message: scheduling.Submit, queue: content.Queue, now: float
@@ -58,7 +60,8 @@
             self.estimates.predict_s(queue.name, step.estimate_ms)
             for step in job.steps
         ]
-        submitted_at = now - message.waited_ms / 1000
+        waited_s = message.waited_ms / 1000 + message.find_transit_s(now)
+        submitted_at = now - waited_s
         added = active_job.ActiveJob(job, queue, submitted_at, step_s)
         added.may_have_run = message.was_sent
         for task in added.tasks:
@@ -77,6 +80,9 @@
         Jobs with other verdicts may run when they are submitted again.
         """
         del self.active[job.job.id]
+        self._unattended.pop(job.job.id, None)
+        for waiter in job.waiters:
+            self._jobs_by_waiter.pop(waiter, None)
         self.backlog.remove(job)
         if verdict in _FINAL_VERDICTS:
             self.recent.record_verdict(job.job.id, verdict)
@@ -113,29 +119,62 @@
         if task is not None and task.state is active_job.TaskState.WAITING:
             task.run += SKIPPED_RUNS
 
-    def drop_waiters(self, is_gone: WaiterPredicate) -> None:
-        """Drops the waiters whose callers have disconnected."""
+    def add_waiter(
+        self, job: active_job.ActiveJob, waiter: active_job.Waiter
+    ) -> None:
+        """Adds a caller that waits for a job's end, unless it is known."""
+        if waiter not in self._jobs_by_waiter:
+            self._jobs_by_waiter[waiter] = job.job.id
+            job.waiters.append(waiter)
+
+    def drop_waiter(self, waiter: active_job.Waiter) -> None:
+        """Drops a caller that has disconnected."""
+        job = self.active.get(self._jobs_by_waiter.pop(waiter, ""))
+        if job is not None:
+            job.waiters.remove(waiter)
+
+    def drop_waiters_of(self, front: str) -> None:
+        """Drops the callers of a front, which submits their jobs again."""
+        waiters = [w for w in self._jobs_by_waiter if w.peer.name == front]
+        for waiter in waiters:
+            self.drop_waiter(waiter)
+
+    def drop_all_waiters(self) -> None:
+        """Drops all callers: every front submits its jobs again."""
+        self._jobs_by_waiter.clear()
         for job in self.active.values():
-            if any(is_gone(waiter) for waiter in job.waiters):
-                job.waiters = [w for w in job.waiters if not is_gone(w)]
+            job.waiters.clear()
 
-    def record_attended(self, is_attended: JobPredicate, now: float) -> None:
-        """Records since when each job has had no caller."""
-        for job in self.active.values():
-            if is_attended(job):
-                job.unattended_since = None
+    def record_attended(self, is_following: PeerPredicate, now: float) -> None:
+        """Records since when each job has had no caller.
+
+        Args:
+            is_following: Whether the jobs of a front may run.
+            now: The time, in seconds.
+        """
+        peers = {waiter.peer for waiter in self._jobs_by_waiter}
+        following = {peer for peer in peers if is_following(peer)}
+        for name, job in self.active.items():
+            if any(waiter.peer in following for waiter in job.waiters):
+                if job.unattended_since is not None:
+                    job.unattended_since = None
+                    del self._unattended[name]
             elif job.unattended_since is None:
                 job.unattended_since = now
+                self._unattended[name] = job
 
     def list_abandoned(
         self, now: float, keep_s: float
     ) -> list[active_job.ActiveJob]:
-        """Returns the jobs without a caller for longer than `keep_s`."""
+        """Returns the jobs without a caller for longer than `keep_s`.
+
+        Those of which nothing has run are not kept: if such a job is sent
+        again, it is taken up anew, at no loss.
+        """
         return [
             job
-            for job in self.active.values()
-            if job.unattended_since is not None
-            and now - job.unattended_since >= keep_s
+            for job in self._unattended.values()
+            if job.is_forgotten or now - job.unattended_since >= keep_s
         ]
 
     def list_unservable(
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -116,7 +116,7 @@
         """
         for worker in self._workers.expect_sides(sides, now):
             self.outbox.send(worker.peer, leasing.Unregistered(worker.epoch))
-        self._jobs.drop_waiters(lambda _: True)
+        self._jobs.drop_all_waiters()
 
     def record_heartbeat_reply(
         self, front: session_lib.Endpoint, sent_at: float, now: float
@@ -130,7 +130,7 @@
         """
         was_following = self.followers.is_following(front, now)
         if not was_following:
-            self._jobs.drop_waiters(lambda w: w.peer.name == front.name)
+            self._jobs.drop_waiters_of(front.name)
         self.followers.record_reply(front, sent_at)
         return not was_following and self.followers.is_following(front, now)
 
@@ -145,7 +145,8 @@
         if self.resume(peer, message, now):
             return
         added = self._jobs.add(message, queue, now)
-        added.waiters.append(active_job.Waiter(peer, message.request))
+        waiter = active_job.Waiter(peer, message.request)
+        self._jobs.add_waiter(added, waiter)
         self._defer_start(added, message, now)
         self._adoption.adopt_runs_of(added, now)
         if not self._job_endings.end_if_done(added, now):
@@ -164,8 +165,7 @@
         waiter = active_job.Waiter(peer, message.request)
         known = self.jobs.get(message.job.id)
         if known is not None:
-            if waiter not in known.waiters:
-                known.waiters.append(waiter)
+            self._jobs.add_waiter(known, waiter)
             self._defer_start(known, message, now)
             self._jobs.queue(known)
             return True
@@ -185,8 +185,7 @@
 
     def abandon(self, peer: session_lib.Endpoint, request: int) -> None:
         """Drops a waiter whose caller has disconnected."""
-        abandoned = active_job.Waiter(peer, request)
-        self._jobs.drop_waiters(lambda waiter: waiter == abandoned)
+        self._jobs.drop_waiter(active_job.Waiter(peer, request))
 
     def find_verdict(self, job: str, now: float) -> scheduling.Verdict:
         """Returns the state of a job, or how it ended."""
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -262,7 +262,9 @@
     monkeypatch.setattr(
         front, "_handle_event", lambda e: handled.append(e) or _fail()
     )
-    front._ownership = types.SimpleNamespace(place_and_send=_fail)
+    front._ownership = types.SimpleNamespace(
+        has_intake=False, take_up=_fail, place_and_send=_fail
+    )
     _receive_two(front, handled)
 
 
