Send a job's specification once to each side process

Cause: each order to start a task carries the job's specification.

Ruled out: that the fronts send the specifications. A side process would wait for two messages, and the owner would send one more for each job.

Change: orders in one turn to one side process that differ in their tasks only go as one `StartTasks`. `Start` stays for single tasks.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -15,6 +15,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
+from skylarkcleat.scheduling import start_batches
 from skylarkcleat.wire import session as session_lib
 
 _DETAILS = {
@@ -156,7 +157,8 @@
         if self._owner is None:
             return
         self._owner.place(clock_lib.read_monotonic())
-        for outgoing in self._owner.outbox.take():
+        messages = self._owner.outbox.take()
+        for outgoing in start_batches.merge_starts(messages):
             message = outgoing.message
             if isinstance(message, scheduling.Reply):
                 version = self._configuration_cache.version
--- a/src/skylarkcleat/protocol/leasing.py
+++ b/src/skylarkcleat/protocol/leasing.py
@@ -178,6 +178,41 @@
     gpu: int
 
 
+class StartTasks(t.NamedTuple):
+    """Orders the start of several tasks that differ in their names only.
+
+    Attributes:
+        epoch: The lease.
+        spec: What the tasks run.
+        cpu: Thousandths of a core that each takes.
+        memory_mb: Memory that each takes, in MB.
+        gpu: Accelerators that each takes.
+        runs: The tasks' names, each with the number of the run.
+    """
+
+    epoch: int
+    spec: str
+    cpu: int
+    memory_mb: int
+    gpu: int
+    runs: tuple[tuple[str, int], ...]
+
+    def list_orders(self) -> list[Start]:
+        """Returns the order of each task."""
+        return [
+            Start(
+                self.epoch,
+                task,
+                run,
+                self.spec,
+                self.cpu,
+                self.memory_mb,
+                self.gpu,
+            )
+            for task, run in self.runs
+        ]
+
+
 @codec.sent_as("Keep")
 class Adopt(t.NamedTuple):
     """Adopts a run that was ordered under a previous lease.
@@ -271,6 +306,7 @@
     | Renewed
     | Unregistered
     | Start
+    | StartTasks
     | Adopt
     | Stop
     | EndsAcknowledged
--- a/src/skylarkcleat/side/orders.py
+++ b/src/skylarkcleat/side/orders.py
@@ -60,6 +60,9 @@
         run_table = self._state.run_table
         if isinstance(message, leasing.Start):
             self._handle_start(message)
+        elif isinstance(message, leasing.StartTasks):
+            for order in message.list_orders():
+                self._handle_start(order)
         elif isinstance(message, leasing.Adopt):
             run_table.adopt(message.task, message.run)
         elif isinstance(message, leasing.Stop):
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -96,6 +96,7 @@
     "SideNamesConfirmed",
     "Sides",
     "Start",
+    "StartTasks",
     "Stop",
     "Submit",
     "Unregistered",
