Let an owner that lags hand over to a stronger front

Cause: fronts without a disk own the jobs first, whatever their link. What an owner needs of it depends on the jobs' specifications, which no election knows; one whose link is full, or whose intake stays congested, kept the jobs to the end.

Change: the owner measures the bytes that it sends and how often its intake is congested, in windows of 0.5 s. Over 0.6 of the link, or congested for over half of the time, it gives up the advantage over fronts with a disk, so that one with more cores takes over by the usual handover. It stays behind for 60 s, and twice as long each time, so that the jobs don't swing. `owner:lagging` tells the shares.

What it costs halfway: a handover that is lost costs a search, as before.

Tests: an owner whose link is full ranks behind a stronger front, one that uses half does not; the hold doubles.

--- a/src/skylarkcleat/discovery/rank.py
+++ b/src/skylarkcleat/discovery/rank.py
@@ -83,6 +83,16 @@
         return level, -self.followed_term, is_outdated, rank, self.name
 
 
+def find_overloaded_rank(rank: int) -> int:
+    """Returns the rank of an owner that needs more than it has.
+
+    A front without a disk loses its advantage: one with a disk and with more
+    cores comes before it. Others keep their rank, as a weak front would be no
+    better owner.
+    """
+    return rank + _DISK_RANK if rank <= 0 else rank
+
+
 def find_rank(has_disk: bool, cores: float, link_mbps: float) -> int:
     """Returns a front's rank as an owner; smaller is better.
 
--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -13,6 +13,7 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.discovery import election as election_lib
+from skylarkcleat.discovery import owner_load as owner_load_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
@@ -45,6 +46,8 @@
         configuration_cache: The copy of the configuration here.
         ownership: The owner, while it is here.
         pauses: Is ticked here.
+        load: Tells whether the owner here is overloaded.
+        count_sent: Returns the bytes that this front has sent so far.
         send: Sends a message to a process by name.
     """
 
@@ -56,6 +59,8 @@
         configuration_cache: configuration_cache_lib.ConfigurationCache,
         ownership: ownership_lib.Ownership,
         pauses: pause_lib.PauseWatch,
+        load: owner_load_lib.OwnerLoad,
+        count_sent: t.Callable[[], int],
         send: t.Callable[[str, t.Any], None],
     ) -> None:
         self._local = local
@@ -64,6 +69,9 @@
         self._configuration_cache = configuration_cache
         self._ownership = ownership
         self._pauses = pauses
+        self._load = load
+        self._count_sent = count_sent
+        self._plain_rank = election.rank
         self._send = send
         self._started_at = clock_lib.read_monotonic()
         self._heartbeats = owner_heartbeats.OwnerHeartbeats(
@@ -84,6 +92,7 @@
                 self._begin_ownership(previous, now)
             if self._election.is_owner:
                 self._run_ownership(now)
+            self._update_rank(now)
             await asyncio.sleep(TICK_S)
 
     def find_expiry_s(self, previous_term: int) -> float:
@@ -249,6 +258,7 @@
     def _announce_ownership(self, sides: t.Iterable[str], now: float) -> None:
         """Notifies fronts and side processes at once of the new owner."""
         eliot.log_message("front:claimed", term=self._election.followed.term)
+        self._load.begin(now, self._count_sent())
         self._record_followed(self._election.followed.term, now)
         self._heartbeats.begin(now)
         found = locating.OwnerFound(self._election.followed)
@@ -258,6 +268,24 @@
     def _run_ownership(self, now: float) -> None:
         self._heartbeats.run(now)
         self._ownership.tick()
+        is_congested = self._ownership.is_congested(now)
+        use = owner_load_lib.Use(self._count_sent(), is_congested)
+        if self._load.record(use, now):
+            eliot.log_message(
+                "owner:lagging",
+                term=self._election.followed.term,
+                link_share=round(self._load.link_share, 3),
+                congested_share=round(self._load.congested_share, 3),
+            )
+
+    def _update_rank(self, now: float) -> None:
+        """Lets stronger fronts go first while this one was overloaded."""
+        if self._election.rank == rank_lib.UNSUITABLE_RANK:
+            return
+        rank = self._plain_rank
+        if self._load.is_overloaded(now):
+            rank = rank_lib.find_overloaded_rank(rank)
+        self._election.rank = rank
 
     def _check_successor(self, follower: str, now: float) -> None:
         """Hands over if a follower that has just replied suits better.
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -120,6 +120,10 @@
         """Whether submissions wait to be taken up."""
         return len(self._intake) > 0
 
+    def is_congested(self, now: float) -> bool:
+        """Returns whether jobs come faster than they are taken up."""
+        return self._intake.is_congested(now)
+
     def defer(
         self, peer: session_lib.Endpoint, message: scheduling.Submit
     ) -> None:
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -15,6 +15,7 @@
 from skylarkcleat.consensus import driver as driver_lib
 from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.discovery import election as election_lib
+from skylarkcleat.discovery import owner_load
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
@@ -104,6 +105,8 @@
             self._configuration_cache,
             self._ownership,
             self._pauses,
+            owner_load.OwnerLoad(settings.limits.link_mbps, now),
+            lambda: hub.bytes_sent,
             self._send_any,
         )
         self._peer_discovery = peer_discovery_lib.PeerDiscovery(
--- a/src/skylarkcleat/front/submission_intake.py
+++ b/src/skylarkcleat/front/submission_intake.py
@@ -69,6 +69,10 @@
             handle(pending.peer, pending.message)
             now = clock_lib.read_monotonic()
 
+    def is_congested(self, now: float) -> bool:
+        """Returns whether submissions come faster than they are taken up."""
+        return self._intake.is_congested(now)
+
     def take_job(self, job: str) -> intake_lib.Pending | None:
         """Returns a job's submission if it waits, to be taken up at once."""
         return self._intake.take_job(job)
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -52,6 +52,7 @@
         self.local = local
         self.events = mailbox
         self.frames_sent = 0
+        self.bytes_sent = 0
         self.messages_sent: collections.Counter[str] = collections.Counter()
         self._codec = codec
         self._stamper = stamper
@@ -175,6 +176,7 @@
         refusal = session.enqueue(kind, body)
         if refusal is None:
             self.messages_sent[kind] += 1
+            self.bytes_sent += len(body)
             self._schedule_flush(session.remote.name, is_link)
         return refusal
 
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import types
 
@@ -9,7 +10,9 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.discovery import election as election_lib
+from skylarkcleat.discovery import owner_load
 from skylarkcleat.discovery import peer_table as peer_table_lib
+from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import pause as pause_lib
@@ -21,6 +24,7 @@
 LOCAL = session_lib.Endpoint("front-1", 1)
 FOLLOWER = session_lib.Endpoint("front-2", 1)
 TERM = 5_000_000
+LINK_MBPS = 8.0
 
 
 @pytest.fixture
@@ -39,6 +43,8 @@
         handle_heartbeat_reply=lambda peer, message: None,
         begin=lambda term, predecessor: None,
         end=lambda reason: ("side-1",),
+        tick=lambda: None,
+        is_congested=lambda now: False,
     )
     created = election_task_lib.ElectionTask(
         LOCAL,
@@ -47,6 +53,8 @@
         configuration_cache_lib.ConfigurationCache(None),
         ownership,
         pause_lib.PauseWatch(election_task_lib.TICK_S, 0.0),
+        owner_load.OwnerLoad(LINK_MBPS, 0.0),
+        lambda: 0,
         lambda name, message: sent.append((name, message)),
     )
     created._heartbeats.begin(0.0)
@@ -113,3 +121,44 @@
     assert (line["remaining_ms"], line["complete"]) == (300, True)
     assert (line["listed_term"], line["listed"]) == (TERM + 1, 2)
     assert line["announced"] == 3
+
+
+# Starts with large specifications filled the owner's link, so that renewals of
+# leases and heartbeats came too late, and side processes were lost.
+@pytest.mark.parametrize(
+    ("mbps", "is_stronger"),
+    [(7.9, True), (4.0, False)],
+    ids=["full", "half in use"],
+)
+def test_an_owner_whose_link_is_full_ranks_behind_stronger_fronts(
+    task, mbps, is_stronger, monkeypatch
+):
+    now, link = 0.0, []
+    monkeypatch.setattr(task, "_count_sent", lambda: sum(link))
+    monkeypatch.setattr(task, "_heartbeats", types.SimpleNamespace(run=id))
+    with_disk = rank_lib.find_rank(True, 1.7, 200.0)
+    while now < 2 * owner_load.WINDOW_S:
+        now += election_task_lib.TICK_S
+        link.append(mbps / 8 * 1_000_000 * election_task_lib.TICK_S)
+        task._run_ownership(now)
+        task._update_rank(now)
+    assert (with_disk < task._election.rank) == is_stronger
+
+
+# An owner that is too weak and one that is less suitable would hand the jobs
+# to each other for as long as the load lasts.
+def test_jobs_come_back_to_an_overloaded_owner_ever_less_often():
+    load = owner_load.OwnerLoad(LINK_MBPS, 0.0)
+    now, since = 0.0, []
+    while now < 1000.0:
+        now += owner_load.WINDOW_S
+        if not load.is_overloaded(now):
+            load.begin(now, 0)
+            now += owner_load.WINDOW_S
+            load.record(owner_load.Use(10_000_000, False), now)
+            since.append(now)
+    gaps = [after - before for before, after in itertools.pairwise(since)]
+    assert gaps[0] >= owner_load.HOLD_S
+    assert all(
+        after >= 1.9 * before for before, after in itertools.pairwise(gaps)
+    )
