Tell how loaded the owner is, and how late each event loop runs

Nothing told the state of an owner that drowns: its lines gave ages from when it took jobs up, and no process told that its loop ran behind.

Tests: the lag is logged until it is over; the gauges follow the lines as before.

--- a/src/skylarkcleat/discovery/owner_load.py
+++ b/src/skylarkcleat/discovery/owner_load.py
@@ -28,6 +28,12 @@
 
 MAX_HOLD_S = 960.0
 
+LOAD = "owner:load"
+"""The type of the line that tells an owner's load, at most once a second."""
+
+LAGGING = "owner:lagging"
+"""The type of the line that an owner writes when it becomes overloaded."""
+
 _BYTES_PER_MBIT = 125_000
 
 
--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -30,6 +30,8 @@
 SUCCESSOR_CHECK_INTERVAL_S = 1.0
 """How often the owner checks at most for a front that is better suited."""
 
+LOAD_LOG_INTERVAL_S = 1.0
+
 RESTART_WINDOW_S = 2.0
 """If a front becomes the owner within this time after its start, and no owner
 before it is known, all processes have restarted, and the leases of all earlier
@@ -72,6 +74,7 @@
         self._load = load
         self._count_sent = count_sent
         self._plain_rank = election.rank
+        self._load_logged_at = float("-inf")
         self._send = send
         self._started_at = clock_lib.read_monotonic()
         self._heartbeats = owner_heartbeats.OwnerHeartbeats(
@@ -271,12 +274,22 @@
         is_congested = self._ownership.is_congested(now)
         use = owner_load_lib.Use(self._count_sent(), is_congested)
         if self._load.record(use, now):
-            eliot.log_message(
-                "owner:lagging",
-                term=self._election.followed.term,
-                link_share=round(self._load.link_share, 3),
-                congested_share=round(self._load.congested_share, 3),
-            )
+            self._log_load(owner_load_lib.LAGGING, now)
+        elif now - self._load_logged_at >= LOAD_LOG_INTERVAL_S:
+            self._load_logged_at = now
+            self._log_load(owner_load_lib.LOAD, now)
+
+    def _log_load(self, kind: str, now: float) -> None:
+        intake, wait_s = self._ownership.describe_intake(now)
+        eliot.log_message(
+            kind,
+            term=self._election.followed.term,
+            jobs=self._ownership.count_jobs(),
+            intake=intake,
+            wait_ms=round(wait_s * 1000),
+            link_share=round(self._load.link_share, 3),
+            congested_share=round(self._load.congested_share, 3),
+        )
 
     def _update_rank(self, now: float) -> None:
         """Lets stronger fronts go first while this one was overloaded."""
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -124,6 +124,14 @@
         """Returns whether jobs come faster than they are taken up."""
         return self._intake.is_congested(now)
 
+    def describe_intake(self, now: float) -> tuple[int, float]:
+        """Returns how many submissions wait, and for how long at most."""
+        return len(self._intake), self._intake.find_wait_s(now)
+
+    def count_jobs(self) -> int:
+        """Returns how many jobs the owner has that have not ended."""
+        return len(self._owner.jobs) if self._owner else 0
+
     def defer(
         self, peer: session_lib.Endpoint, message: scheduling.Submit
     ) -> None:
--- a/src/skylarkcleat/front/submission_intake.py
+++ b/src/skylarkcleat/front/submission_intake.py
@@ -73,6 +73,10 @@
         """Returns whether submissions come faster than they are taken up."""
         return self._intake.is_congested(now)
 
+    def find_wait_s(self, now: float) -> float:
+        """Returns how long the oldest submission has waited, in seconds."""
+        return self._intake.find_wait_s(now)
+
     def take_job(self, job: str) -> intake_lib.Pending | None:
         """Returns a job's submission if it waits, to be taken up at once."""
         return self._intake.take_job(job)
--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -8,6 +8,8 @@
 
 import typing as t
 
+from skylarkcleat import loop_lag
+from skylarkcleat.discovery import owner_load
 from skylarkcleat.metrics import label
 from skylarkcleat.metrics import metrics as metrics_lib
 from skylarkcleat.metrics import registry as registry_lib
@@ -23,6 +25,11 @@
     "owner_open_sides": "Side processes that the owner here may send tasks to.",
     "owner_closed_sides": "Side processes that it may not send tasks to.",
     "configuration_version": "Version of the configuration.",
+    "owner_intake": "Submissions that the owner here has not taken up.",
+    "owner_intake_wait_seconds": "How long the oldest of them has waited.",
+    "owner_link_share": "Share of its link that the owner here uses.",
+    "owner_congested_share": "Share of its time that its intake is congested.",
+    "loop_lag_seconds": "How late the event loop ran in the last second.",
     "log_has_leader": "1 while this replica of the log knows a leader.",
     "log_voters": "Voters of the log; 0 on a replica that does not lead.",
     "log_silent_voters": "Voters that do not answer the leader here.",
@@ -53,6 +60,10 @@
         "owner_waiting_sides": _read_zero,
         "owner_open_sides": _read_zero,
         "owner_closed_sides": _read_zero,
+        "owner_intake": _read_zero,
+        "owner_intake_wait_seconds": _read_zero,
+        "owner_link_share": _read_zero,
+        "owner_congested_share": _read_zero,
     },
     workers_log.WORKERS: {
         "owner_open_sides": lambda message: message["open"],
@@ -60,6 +71,15 @@
     },
     "owner:waiting": {"owner_waiting_sides": lambda message: message["sides"]},
     "owner:settled": {"owner_waiting_sides": _read_zero},
+    owner_load.LOAD: {
+        "owner_intake": lambda message: message["intake"],
+        "owner_intake_wait_seconds": lambda message: message["wait_ms"] / 1000,
+        "owner_link_share": lambda message: message["link_share"],
+        "owner_congested_share": lambda message: message["congested_share"],
+    },
+    loop_lag.LAG: {
+        "loop_lag_seconds": lambda message: message["late_ms"] / 1000
+    },
     "front:configuration": {
         "configuration_version": lambda message: message["version"]
     },
--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -11,6 +11,7 @@
 import zmq
 
 from skylarkcleat import clock as clock_lib
+from skylarkcleat import loop_lag
 from skylarkcleat import supervision
 from skylarkcleat.wire import acceptor as acceptor_lib
 from skylarkcleat.wire import codec as codec_lib
@@ -259,10 +260,15 @@
             self._inbox.deliver(session, frame)
 
     async def _tick(self) -> None:
+        ticked_at = clock_lib.read_monotonic()
+        lag = loop_lag.LagMeter(ticked_at)
         while True:
             await asyncio.sleep(TICK_S)
+            now = clock_lib.read_monotonic()
+            lag.record(now - ticked_at - TICK_S, now)
+            ticked_at = now
             try:
-                self._maintain(clock_lib.read_monotonic())
+                self._maintain(now)
             except Exception as error:
                 supervision.log_unexpected("maintain the sessions", error)
 
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -45,6 +45,8 @@
         end=lambda reason: ("side-1",),
         tick=lambda: None,
         is_congested=lambda now: False,
+        describe_intake=lambda now: (0, 0.0),
+        count_jobs=lambda: 0,
     )
     created = election_task_lib.ElectionTask(
         LOCAL,
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarkcleat import loop_lag
 from skylarkcleat.metrics import decisions
 from skylarkcleat.scheduling import active_job
 
@@ -90,3 +91,12 @@
 
 def test_shows_how_many_lines_were_lost(metrics):
     assert "skylarkcleat_log_lines_lost 4" in _render(metrics, 4)
+
+
+# Nothing told that a process ran behind, so that late leases had no cause.
+def test_the_lag_of_the_event_loop_is_logged_until_it_is_over(log_lines):
+    meter = loop_lag.LagMeter(0.0)
+    for tick in range(1, 61):
+        late_s = 0.2 if tick == 15 else 0.001
+        meter.record(late_s, tick * 0.1)
+    assert [line["late_ms"] for line in log_lines] == [200, 0]
