Let followers tell their rank with each reply

Cause: an owner ranks its followers by their views, which it gets in searches only. The view of the overloaded front was from before.

Change: a reply to a heartbeat tells the front's rank at present; it goes before a view.

Test: a told rank goes before the view, and a reply without one leaves it.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -207,7 +207,9 @@
         )
         self._has_heard = True
         self.inherited = heartbeat.inherited
-        reply = owning.OwnerHeartbeatReply(heartbeat.term, heartbeat.sent_at)
+        reply = owning.OwnerHeartbeatReply(
+            heartbeat.term, heartbeat.sent_at, self.find_shown_rank(now)
+        )
         self.side_list.record_reply(reply, now)
         return reply
 
@@ -217,7 +219,7 @@
         """Handles a reply; returns whether its sender follows this owner."""
         if not self.is_owner or reply.term != self.followed.term:
             return False
-        self._followers.record(sender, reply.sent_at, now)
+        self._followers.record(sender, reply.sent_at, now, reply.rank)
         return True
 
     def handle_handover(self, handover: owning.Handover, now: float) -> bool:
@@ -255,8 +257,19 @@
 
     def is_outranked_by(self, name: str) -> bool:
         """Returns whether a front suits better as the owner."""
+        rank = self._find_rank(name)
+        return rank is not None and rank < self.rank
+
+    def _find_rank(self, name: str) -> int | None:
+        """Returns a front's rank; None if it is unknown.
+
+        Views are asked for in searches only, and may be old.
+        """
         found = self._views.get(name)
-        return found is not None and found[0].sender.rank < self.rank
+        told = self._followers.find_rank(name)
+        if told is not None or found is None:
+            return told
+        return found[0].sender.rank
 
     def find_successor(self, now: float, is_stopping: bool) -> str:
         """Returns the front that should replace this one as the owner.
@@ -270,19 +283,15 @@
             Its name; empty if this front should stay the owner.
         """
         candidates = [
-            self._views[name][0].sender
+            (self._find_rank(name), name)
             for name, follower in self._followers.list_responsive(now)
             if (is_stopping or now - follower.since >= HANDOVER_AFTER_S)
             and name in self._views
         ]
-        best = min(
-            candidates,
-            key=lambda successor: (successor.rank, successor.name),
-            default=None,
-        )
-        if best is None or best.rank == rank_lib.UNSUITABLE_RANK:
+        best = min(candidates, default=None)
+        if best is None or best[0] == rank_lib.UNSUITABLE_RANK:
             return ""
-        return best.name if is_stopping or best.rank < self.rank else ""
+        return best[1] if is_stopping or best[0] < self.rank else ""
 
     def _claim(self, now: float) -> None:
         number = self._highest_term // TERM_STEP + 1
--- a/src/skylarkcleat/discovery/followers.py
+++ b/src/skylarkcleat/discovery/followers.py
@@ -16,12 +16,14 @@
         since: Since when it has followed without a gap, in seconds.
         answered_at: When the heartbeat that it last replied to was sent.
         handled_at: When that reply was handled.
+        rank: Its rank by that reply; None if it didn't say.
     """
 
     def __init__(self, answered_at: float, now: float) -> None:
         self.since = now
         self.answered_at = answered_at
         self.handled_at = now
+        self.rank: int | None = None
 
     def has_gap(self, sent_at: float, now: float) -> bool:
         """Returns whether it was away until its reply to a heartbeat.
@@ -48,13 +50,25 @@
         """Forgets all of them, as another term begins."""
         self._by_name.clear()
 
-    def record(self, name: str, sent_at: float, now: float) -> None:
+    def record(
+        self,
+        name: str,
+        sent_at: float,
+        now: float,
+        rank: int | None = None,
+    ) -> None:
         """Records a front's reply to the heartbeat sent at `sent_at`."""
         follower = self._by_name.get(name)
         if follower is None or follower.has_gap(sent_at, now):
-            self._by_name[name] = Follower(sent_at, now)
+            follower = self._by_name[name] = Follower(sent_at, now)
         else:
             follower.record(sent_at, now)
+        follower.rank = rank
+
+    def find_rank(self, name: str) -> int | None:
+        """Returns a follower's rank by its last reply, if it told it."""
+        follower = self._by_name.get(name)
+        return follower.rank if follower is not None else None
 
     def list_responsive(self, now: float) -> list[tuple[str, Follower]]:
         """Returns the followers that are not known to be gone, by name.
--- a/src/skylarkcleat/protocol/owning.py
+++ b/src/skylarkcleat/protocol/owning.py
@@ -39,10 +39,13 @@
     Attributes:
         term: The owner's term.
         sent_at: `sent_at` of the heartbeat that this answers.
+        rank: How well the front suits as the owner at present; None from a
+            front that doesn't say.
     """
 
     term: int
     sent_at: float
+    rank: int | None = None
 
 
 @codec.sent_as("Sides")
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -164,3 +164,17 @@
     assert all(
         after >= 1.9 * before for before, after in itertools.pairwise(gaps)
     )
+
+
+# Views are asked for in searches only: an owner handed the jobs back, by an old
+# view, to the front that had been overloaded, every three seconds.
+def test_what_a_follower_tells_of_itself_goes_before_an_old_view(task):
+    front = locating.FrontRef(FOLLOWER.name, "z", -1, True, False, 0)
+    followed = locating.OwnerRef(LOCAL.name, TERM)
+    view = locating.View(front, (), followed, 0, locating.LogRef(), (), 1)
+    election = task._election
+    election.record_view(view, 0.0)
+    for rank, is_outranked in ((None, True), (7, False), (-2, True)):
+        reply = owning.OwnerHeartbeatReply(TERM, 0.0, rank)
+        election.handle_heartbeat_reply(FOLLOWER.name, reply, 0.0)
+        assert election.is_outranked_by(FOLLOWER.name) == is_outranked
