Keep the cost of a placement pass from growing with the backlog

Cause: after every event a pass asked up to 24 blocked jobs anew, each with a walk over its tasks and a search through all runners; the pass copied the whole backlog, and the search for unservable jobs added up all tasks each 50 ms.

Ruled out: smaller blocks of the room index alone (8 in place of 32: 351 to 346 us a task).

Change: what did not fit is remembered until room grows; a new job that is covered by it costs no pass; a job keeps its startable tasks and its work until a task changes; searches after the first blocked job add up the few runners with free cores; while more jobs are blocked than a pass asks, passes are 2 ms apart.

--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -7,6 +7,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import unfit_shapes
 from skylarkcleat.wire import session as session_lib
 
 LATE_OBJECTIVES = 3.0
@@ -33,6 +34,7 @@
         name: The task's name.
         step: The number of its step.
         state: Its state.
+        on_change: Is called when its state changes.
         run: The number of its latest run; 0 before the first.
         side: The side process that received the order. Every owner numbers
             runs from 1, so only number and side process identify a run.
@@ -45,13 +47,25 @@
     def __init__(self, name: str, step: int) -> None:
         self.name = name
         self.step = step
-        self.state = TaskState.WAITING
+        self._state = TaskState.WAITING
+        self.on_change: t.Callable[[], None] | None = None
         self.run = 0
         self.side = ""
         self.failures = 0
         self.failed_sides: set[str] = set()
         self.may_run_twice = False
 
+    @property
+    def state(self) -> TaskState:
+        """Its state."""
+        return self._state
+
+    @state.setter
+    def state(self, state: TaskState) -> None:
+        self._state = state
+        if self.on_change is not None:
+            self.on_change()
+
     def place(self, run: int, side: str) -> None:
         """Records the run of the task that is under way, and its side."""
         self.run = run
@@ -136,6 +150,11 @@
         self.started = False
         self.may_have_run = False
         self.history: list[RunRecord] = []
+        self._startable: list[Task] | None = None
+        self._shape: unfit_shapes.Shape | None = None
+        self._waiting_core_s: float | None = None
+        for task in self.tasks:
+            task.on_change = self._forget_waiting
 
     @property
     def due_at(self) -> float:
@@ -167,7 +186,37 @@
             self.history.append(RunRecord(number, run, side, at_ms, event))
 
     def list_startable(self) -> list[Task]:
-        """Returns the tasks that may start now."""
+        """Returns the tasks that may start now.
+
+        The list is kept until a task's state changes: during an overload the
+        same job is asked for it after each end of a run.
+        """
+        if self._startable is None:
+            self._startable = self._search_startable()
+            self._shape = self._find_shape(self._startable)
+        return self._startable
+
+    def find_shape(self) -> unfit_shapes.Shape | None:
+        """Returns what the startable tasks need; None if they differ."""
+        self.list_startable()
+        return self._shape
+
+    def _forget_waiting(self) -> None:
+        self._startable = None
+        self._waiting_core_s = None
+
+    def _find_shape(
+        self, waiting: t.Sequence[Task]
+    ) -> unfit_shapes.Shape | None:
+        if not waiting or any(task.step != waiting[0].step for task in waiting):
+            return None
+        step = self.job.steps[waiting[0].step]
+        kind = unfit_shapes.Kind(
+            self.queue.upstream, step.requirement, step.memory_mb, step.gpu
+        )
+        return unfit_shapes.Shape(kind, step.cpu, len(waiting))
+
+    def _search_startable(self) -> list[Task]:
         waiting = []
         for task in self.tasks:
             if task.state is not TaskState.WAITING:
@@ -179,11 +228,13 @@
 
     def find_waiting_core_s(self) -> float:
         """Returns the expected core-seconds of the waiting tasks."""
-        return sum(
-            self.job.steps[task.step].cpu / 1000 * self.step_s[task.step]
-            for task in self.tasks
-            if task.state is TaskState.WAITING
-        )
+        if self._waiting_core_s is None:
+            self._waiting_core_s = sum(
+                self.job.steps[task.step].cpu / 1000 * self.step_s[task.step]
+                for task in self.tasks
+                if task.state is TaskState.WAITING
+            )
+        return self._waiting_core_s
 
     def find_task(self, name: str) -> Task | None:
         """Returns a task by its name."""
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import typing as t
 
@@ -17,6 +18,9 @@
 MAX_BLOCKED = 24
 """After this many jobs without enough capacity a pass ends."""
 
+MAX_SKIPPED = 24
+"""After this many jobs that may not overtake a pass ends as well."""
+
 LONGER = 4.0
 """A job that takes more than this many times longer doesn't overtake one that
 waits for capacity: it would occupy it for many times the other's objective."""
@@ -25,39 +29,44 @@
 class _Entry(t.NamedTuple):
     latest_start: float
     number: int
-    job: str
+    job: active_job.ActiveJob
 
 
 class Backlog:
-    """The jobs that have tasks to start."""
+    """The jobs that have tasks to start.
+
+    Attributes:
+        is_full: Whether the last pass ended since so many jobs did not fit.
+    """
 
     def __init__(self) -> None:
         self._timely: sortedcontainers.SortedList[_Entry]
         self._timely = sortedcontainers.SortedList()
         self._late: sortedcontainers.SortedList[_Entry]
         self._late = sortedcontainers.SortedList()
-        self._jobs: dict[str, tuple[active_job.ActiveJob, _Entry]] = {}
+        self._entries: dict[str, _Entry] = {}
         self._number = 0
+        self.is_full = False
 
     def __len__(self) -> int:
         """Returns how many jobs there are."""
-        return len(self._jobs)
+        return len(self._entries)
 
     def add(self, job: active_job.ActiveJob) -> None:
         """Adds a job, unless it is there."""
-        if job.job.id in self._jobs:
+        if job.job.id in self._entries:
             return
         self._number += 1
-        entry = _Entry(job.latest_start, self._number, job.job.id)
-        self._jobs[job.job.id] = (job, entry)
+        entry = _Entry(job.latest_start, self._number, job)
+        self._entries[job.job.id] = entry
         self._timely.add(entry)
 
     def remove(self, job: active_job.ActiveJob) -> None:
         """Removes a job, if it is there."""
-        found = self._jobs.pop(job.job.id, None)
-        if found is not None:
-            self._timely.discard(found[1])
-            self._late.discard(found[1])
+        entry = self._entries.pop(job.job.id, None)
+        if entry is not None:
+            self._timely.discard(entry)
+            self._late.discard(entry)
 
     def place(
         self, now: float, place: t.Callable[[active_job.ActiveJob], bool]
@@ -70,21 +79,38 @@
                 wait, so that the job leaves the backlog.
         """
         self._move_late(now)
+        placed: list[active_job.ActiveJob] = []
+        self.is_full = self._offer(now, place, placed)
+        for job in placed:
+            self.remove(job)
+
+    def _offer(
+        self,
+        now: float,
+        place: t.Callable[[active_job.ActiveJob], bool],
+        placed: list[active_job.ActiveJob],
+    ) -> bool:
+        """Offers capacity; returns whether it ended before all were asked."""
         blocked = 0
+        skipped = 0
         shortest_s = math.inf
-        for entry in [*self._timely, *self._late]:
-            job = self._jobs[entry.job][0]
-            is_timely = job.latest_start > now
+        for entry in itertools.chain(self._timely, self._late):
+            job = entry.job
+            is_timely = entry.latest_start > now
             if is_timely and job.expected_s > LONGER * shortest_s:
+                skipped += 1
+                if skipped >= MAX_SKIPPED:
+                    return True
                 continue
             if place(job):
-                self.remove(job)
+                placed.append(job)
                 continue
             if is_timely:
                 shortest_s = min(shortest_s, job.expected_s)
             blocked += 1
             if blocked >= MAX_BLOCKED:
-                return
+                return True
+        return False
 
     def forecast(
         self, now: float, cores: float
@@ -103,9 +129,8 @@
         self._move_late(now)
         ahead = 0.0
         for entry in [*self._timely, *self._late]:
-            job = self._jobs[entry.job][0]
-            yield job, now + (ahead / cores if cores else 0.0)
-            ahead += job.find_waiting_core_s()
+            yield entry.job, now + (ahead / cores if cores else 0.0)
+            ahead += entry.job.find_waiting_core_s()
 
     def _move_late(self, now: float) -> None:
         while self._timely and self._timely[0].latest_start < now:
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -40,6 +40,7 @@
         recent: Outcomes of other jobs and tasks.
         estimates: Corrections of the estimates, for each queue.
         needs_placement: Whether a task may start that could not before.
+        queued: The jobs put into the backlog since the last placement.
     """
 
     def __init__(self, now: float) -> None:
@@ -48,6 +49,7 @@
         self.recent = recent_outcomes_lib.RecentOutcomes(now)
         self.estimates = speed_lib.EstimateFactors()
         self.needs_placement = False
+        self.queued: list[active_job.ActiveJob] = []
 
     def add(
         self, message: scheduling.Submit, queue: content.Queue, now: float
@@ -94,7 +96,7 @@
         """Puts a job into the backlog if it has tasks to start."""
         if job.list_startable():
             self.backlog.add(job)
-            self.needs_placement = True
+            self.queued.append(job)
 
     def requeue_task(self, placed: placed_run.PlacedRun, side: str) -> None:
         """Makes a task startable again whose run is over and wasn't done."""
--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -11,6 +11,7 @@
 
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import known_capacity
 from skylarkcleat.scheduling import room_index
 from skylarkcleat.scheduling import worker as worker_lib
 
@@ -30,18 +31,35 @@
     tasks: collections.abc.Sequence[active_job.Task],
     rooms: room_index.RoomIndex,
     now: float,
+    known: known_capacity.KnownCapacity | None = None,
 ) -> bool:
     """Returns whether a job may start its tasks, as far as capacity goes.
 
     All of them must fit at once: a job ends with its last task, so during a
     flood, runners occupied by half a job would be wasted. A step with more
     tasks than half of the runners' total capacity may start in part.
+
+    Args:
+        job: The job.
+        tasks: Its tasks that may start.
+        rooms: The runners of its upstream.
+        now: The time, in seconds.
+        known: What idle runners of the upstream were found to hold a moment
+            ago, to be kept from call to call; None while few jobs wait.
     """
-    needed = collections.Counter(task.step for task in tasks)
+    shape = job.find_shape()
+    if shape is not None:
+        needed = {tasks[0].step: shape.count}
+    else:
+        needed = collections.Counter(task.step for task in tasks)
     for number, count in needed.items():
         step = job.job.steps[number]
-        if not _has_free_room(step, count, rooms, now) and _has_capacity(
-            step, 2 * count, rooms, now
+        if known is not None and not rooms.may_hold(step.cpu, count):
+            has_free_room = False
+        else:
+            has_free_room = _has_free_room(step, count, rooms, now)
+        if not has_free_room and _has_capacity(
+            step, 2 * count, rooms, now, known
         ):
             return False
     return True
@@ -116,15 +134,21 @@
     count: int,
     rooms: room_index.RoomIndex,
     now: float,
+    known: known_capacity.KnownCapacity | None,
 ) -> bool:
     """Returns whether so many tasks of a step would fit on idle runners."""
     capacity = 0
+    if known is not None and known.covers(step, count, now):
+        return True
+    searched = max(count, known_capacity.USUAL_COUNT)
     for worker in rooms.list_all():
         if worker.is_open(now) and worker.could_run(step):
             capacity += worker.runner.cpu // max(step.cpu, 1)
-            if capacity >= count:
+            if capacity >= searched:
+                if known is not None:
+                    known.record(step, searched, now)
                 return True
-    return False
+    return capacity >= count
 
 
 def _can_start(
--- a/src/skylarkcleat/scheduling/room_index.py
+++ b/src/skylarkcleat/scheduling/room_index.py
@@ -10,9 +10,10 @@
 import collections.abc
 import typing as t
 
+from skylarkcleat.scheduling import free_cores
 from skylarkcleat.scheduling import worker as worker_lib
 
-BLOCK_SIZE = 32
+BLOCK_SIZE = 16
 """The usual number of runners in a block; a block of twice as many is split."""
 
 
@@ -46,14 +47,18 @@
     """Workers sorted by duration factor, in blocks that know their most room.
 
     Attributes:
+        growths: How often the free cores of a worker have grown, or a worker
+            was added.
         visited: How many entries and blocks were looked at, for tests.
     """
 
     def __init__(self) -> None:
+        self.growths = 0
         self.visited = 0
         self._blocks: list[_Block] = []
         self._known: dict[str, _Entry] = {}
         self._free_cpu: dict[str, int] = {}
+        self._free_cores = free_cores.FreeCores()
 
     def __len__(self) -> int:
         """Returns how many workers there are."""
@@ -65,6 +70,7 @@
 
     def update(self, worker: worker_lib.Worker) -> None:
         """Adds a worker, or takes over its present factor and room."""
+        self._free_cores.clear()
         entry = _Entry(worker.factor, worker.order, worker)
         known = self._known.get(worker.side)
         if known is not None:
@@ -72,12 +78,15 @@
                 self._update_room(known)
                 return
             self._remove(known)
+        if known is None or self._free_cpu[worker.side] < worker.free_cpu:
+            self.growths += 1
         self._known[worker.side] = entry
         self._insert(entry)
         self._free_cpu[worker.side] = worker.free_cpu
 
     def discard(self, side: str) -> None:
         """Removes the worker of a side process, if it is listed."""
+        self._free_cores.clear()
         known = self._known.pop(side, None)
         if known is not None:
             self._remove(known)
@@ -94,22 +103,37 @@
             self.visited += 1
             if block.max_cpu < cpu:
                 continue
+            self.visited += len(block.entries)
             for entry in block.entries:
-                self.visited += 1
                 if entry.worker.free_cpu >= cpu:
                     yield entry.worker
 
+    def may_hold(self, cpu: int, count: int) -> bool:
+        """Returns whether so many tasks may fit, as far as cores go.
+
+        Looks at each runner at most once between two changes of the room.
+        """
+        return self._free_cores.may_hold(cpu, count, self._find_free)
+
+    def _find_free(self, cpu: int) -> collections.abc.Iterator[int]:
+        return (worker.free_cpu for worker in self.find(cpu))
+
+    def find_max_cpu(self) -> int:
+        """Returns the most free cores of any worker, in thousandths."""
+        return max((block.max_cpu for block in self._blocks), default=0)
+
     def list_all(self) -> collections.abc.Iterator[worker_lib.Worker]:
         """Yields all workers, the fastest first."""
         for block in self._blocks:
+            self.visited += len(block.entries)
             for entry in block.entries:
-                self.visited += 1
                 yield entry.worker
 
     def _update_room(self, entry: _Entry) -> None:
         """Updates the most room of a block after a change of one entry."""
         worker = entry.worker
         previous = self._free_cpu[worker.side]
+        self.growths += worker.free_cpu > previous
         self._free_cpu[worker.side] = worker.free_cpu
         block = self._find_block(entry)
         if worker.free_cpu >= block.max_cpu:
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import collections.abc
+
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
+from skylarkcleat.scheduling import known_capacity
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import placement
+from skylarkcleat.scheduling import unfit_shapes
 from skylarkcleat.scheduling import worker as worker_lib
 
+PASS_GAP_S = 0.002
+"""While more jobs are blocked than a pass asks, passes are at least this far
+apart, so that one serves several ends of runs. A freed core is idle for 1 ms on
+average, under a hundredth of the shortest tasks' duration."""
+
 
 class Starts:
     """Starts tasks on the side processes that have room for them.
@@ -20,25 +30,70 @@
 
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
+        self._unfit = unfit_shapes.UnfitShapes()
+        self._growths: dict[str, int] = {}
+        self._passed_at = 0.0
+        self._capacities: dict[str, known_capacity.KnownCapacity] = {}
 
     def place(self, now: float) -> None:
         """Starts tasks that fit, if anything changed since the last call."""
         jobs, settling = self._state.jobs, self._state.workers.settling
-        if not jobs.needs_placement or not settling.is_settled(now):
+        if not jobs.needs_placement and not jobs.queued:
+            return
+        if not settling.is_settled(now):
+            return
+        if self._must_wait(now):
+            return
+        if jobs.needs_placement or self._has_grown(now):
+            self._unfit.clear()
+            self._growths.clear()
+        queued, jobs.queued = jobs.queued, []
+        if not jobs.needs_placement and all(map(self._is_unfit, queued)):
             return
         jobs.needs_placement = False
+        if not len(jobs.backlog):
+            return
+        self._passed_at = now
         jobs.backlog.place(now, lambda job: self._place_job(job, now))
 
+    def _must_wait(self, now: float) -> bool:
+        """Returns whether the next pass is held back for a moment."""
+        since_s = now - self._passed_at
+        return self._state.jobs.backlog.is_full and 0 <= since_s < PASS_GAP_S
+
+    def _has_grown(self, now: float) -> bool:
+        """Returns whether a runner's room has grown since a job did not fit."""
+        workers = self._state.workers
+        return any(
+            workers.find_rooms(upstream, now).growths != known
+            for upstream, known in self._growths.items()
+        )
+
+    def _is_unfit(self, job: active_job.ActiveJob) -> bool:
+        """Returns whether a job is known not to fit now.
+
+        A job that has started some of its tasks may start the others one by
+        one, so what did not fit at once says nothing of it.
+        """
+        shape = job.find_shape()
+        if shape is None:
+            return False
+        if job.started:
+            shape = shape._replace(count=1)
+        return self._unfit.covers(shape)
+
     def _place_job(self, job: active_job.ActiveJob, now: float) -> bool:
-        if now < job.startable_at or not self._state.is_attended(job, now):
+        # Most jobs of an overload end here, so what costs least comes first.
+        if now < job.startable_at or self._is_unfit(job):
             return False
         waiting = job.list_startable()
+        if not job.started and not self._has_room(job, waiting, now):
+            return False
+        if not self._state.is_attended(job, now):
+            return False
         if any(self._is_stopping(task) for task in waiting):
             return False
         workers, upstream = self._state.workers, job.queue.upstream
-        rooms = workers.find_rooms(upstream, now)
-        if not job.started and not placement.has_room(job, waiting, rooms, now):
-            return False
         for task in waiting:
             step = job.job.steps[task.step]
             base_s = self._state.jobs.estimates.predict_s(
@@ -54,12 +109,47 @@
                 crashes.is_suspect,
             )
             if choice is None:
+                self._record_full(job, step, now)
                 return False
             if crashes.is_suspect:
                 choice[0].trial_until = now + crashes_lib.FRESH_S
             self._start(job, task, choice[0], choice[1], now)
         return True
 
+    def _has_room(
+        self,
+        job: active_job.ActiveJob,
+        waiting: collections.abc.Sequence[active_job.Task],
+        now: float,
+    ) -> bool:
+        """Returns whether a job fits, and remembers its shape otherwise."""
+        upstream = job.queue.upstream
+        rooms = self._state.workers.find_rooms(upstream, now)
+        # The first job that does not fit is searched for in full: while all
+        # fit, what speeds up further searches would cost more than it saves.
+        known = self._capacities.get(upstream) if self._growths else None
+        if placement.has_room(job, waiting, rooms, now, known):
+            return True
+        self._growths[upstream] = rooms.growths
+        self._capacities.setdefault(upstream, known_capacity.KnownCapacity())
+        shape = job.find_shape()
+        if shape is not None:
+            self._unfit.record(shape)
+        return False
+
+    def _record_full(
+        self, job: active_job.ActiveJob, step: scheduling.Step, now: float
+    ) -> None:
+        """Records that a task does not fit, if no runner has its cores."""
+        upstream = job.queue.upstream
+        rooms = self._state.workers.find_rooms(upstream, now)
+        if rooms.find_max_cpu() < step.cpu:
+            kind = unfit_shapes.Kind(
+                upstream, step.requirement, step.memory_mb, step.gpu
+            )
+            self._unfit.record(unfit_shapes.Shape(kind, step.cpu, 1))
+            self._growths[upstream] = rooms.growths
+
     def _is_stopping(self, task: active_job.Task) -> bool:
         """Returns whether a duplicate run of a waiting task has not ended."""
         if task.may_run_twice:
