Evacuate availability zones on operators' orders

Cause: operators evacuate an availability zone and later return it to service; no process knew of zones beyond the discovery of fronts.

Ruled out: a field of the configuration (its version is the operators', and an order would race a replacement of the whole); an order without a base (a start that is held up would undo a stop that was acknowledged after it).

Change: the control address serves POST /api/evacuations/ZONE/start and /stop. An order is a record of its own in the replicated log, with a revision of its own. Fronts pass the revision on with heartbeats and views, as they do the configuration's version. The owner reads one view, the zones in use, sends no tasks to a runner of an evacuated zone, and refuses jobs that only such runners could take. An owner without recent news of the log sends no tasks where evacuations have been used.

--- a/src/skylarkcleat/configuration/record.py
+++ b/src/skylarkcleat/configuration/record.py
@@ -4,6 +4,7 @@
 
 import typing as t
 
+from skylarkcleat.configuration import evacuations
 from skylarkcleat.protocol import tagged
 
 _VERSION = 2
@@ -16,4 +17,7 @@
     content: bytes
 
 
-CODEC = tagged.TaggedCodec("record", _VERSION, {1: Replace})
+CODEC = tagged.TaggedCodec(
+    "record", _VERSION, {1: Replace, 2: evacuations.Order}
+)
+"""A replica of a version that knows only the first tag ignores the second."""
--- a/src/skylarkcleat/front/configuration_cache.py
+++ b/src/skylarkcleat/front/configuration_cache.py
@@ -9,31 +9,34 @@
 
 import eliot
 
-from skylarkcleat import clock as clock_lib
 from skylarkcleat.configuration import content
 from skylarkcleat.configuration import store as store_lib
+from skylarkcleat.front import evacuation_cache
+from skylarkcleat.front import latest_version
 from skylarkcleat.protocol import locating
 
-FETCH_INTERVAL_S = 0.1
-"""How long to wait for a configuration before fetching again."""
-
 
 class ConfigurationCache:
     """A front's copy of the configuration in force.
 
     Args:
         store: What the log holds; None on a front without a disk.
+        evacuations: The front's copy of what else the log holds.
 
     Attributes:
-        latest_known_version: The newest version that any process has used.
+        evacuations: That copy.
     """
 
-    def __init__(self, store: store_lib.Store | None) -> None:
+    def __init__(
+        self,
+        store: store_lib.Store | None,
+        evacuations: evacuation_cache.EvacuationCache | None = None,
+    ) -> None:
         self._store = store
+        self.evacuations = evacuations or evacuation_cache.EvacuationCache()
         self._current = content.Configuration()
         self._index = content.QueueIndex(self._current)
-        self.latest_known_version = 0
-        self._fetched_at = float("-inf")
+        self._latest = latest_version.LatestVersion()
 
     @property
     def current(self) -> content.Configuration:
@@ -46,6 +49,11 @@
         """The version of the current configuration; 0 before there is any."""
         return self.current.version
 
+    @property
+    def latest_known_version(self) -> int:
+        """The newest version that any process has used."""
+        return self._latest.number
+
     @property
     def is_behind(self) -> bool:
         """Whether another process has used a newer configuration."""
@@ -73,12 +81,7 @@
         Returns:
             Whether to fetch the configuration from that process.
         """
-        self.latest_known_version = max(self.latest_known_version, version)
-        now = clock_lib.read_monotonic()
-        if version <= self.version or now - self._fetched_at < FETCH_INTERVAL_S:
-            return False
-        self._fetched_at = now
-        return True
+        return self._latest.record(version, self.version)
 
     def handle_fetch(
         self, fetch: locating.FetchConfiguration
--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -149,6 +149,10 @@
         if self._configuration_cache.record_version(heartbeat.version):
             version = self._configuration_cache.version
             self._send(sender, locating.FetchConfiguration(version))
+        evacuations = self._configuration_cache.evacuations
+        message = evacuations.handle_owner_revision(heartbeat.evacuations)
+        if message is not None:
+            self._send(sender, message)
         if reply is None:
             return
         if was_owner:
--- a/src/skylarkcleat/front/log_service.py
+++ b/src/skylarkcleat/front/log_service.py
@@ -1,4 +1,4 @@
-"""Serves operators' configuration requests on the leader of the log."""
+"""Serves operators' requests on the leader of the log."""
 
 from __future__ import annotations
 
@@ -12,12 +12,13 @@
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
 from skylarkcleat.consensus import log as log_lib
+from skylarkcleat.front import evacuation_service
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.wire import session as session_lib
 
 
 class LogService:
-    """Appends configurations to the log and reads the newest.
+    """Appends configurations and orders for zones to the log and reads them.
 
     Args:
         store: What the log holds.
@@ -34,12 +35,13 @@
         self._store = store
         self._log = log
         self._send = send
+        self._evacuations = evacuation_service.EvacuationService(store, log)
         self._calls = supervision.BackgroundTasks("serve the log")
 
     def receive(
         self,
         peer: session_lib.Endpoint,
-        message: scheduling.PutConfiguration | scheduling.ReadConfiguration,
+        message: scheduling.LogMessage,
     ) -> None:
         """Handles a front's request; replies once the outcome is certain."""
         if self._log is None or not self._log.is_leading:
@@ -47,6 +49,13 @@
             self._reply(peer, message.request, verdict)
         elif isinstance(message, scheduling.PutConfiguration):
             self._receive_put(peer, message)
+        elif isinstance(message, scheduling.PutEvacuation):
+            self._calls.spawn(
+                self._pass_reply(peer, self._evacuations.put(message))
+            )
+        elif isinstance(message, scheduling.ReadEvacuations):
+            reading = self._evacuations.read(message.request)
+            self._calls.spawn(self._pass_reply(peer, reading))
         else:
             self._calls.spawn(self._read(peer, message))
 
@@ -92,6 +101,13 @@
         reply = scheduling.Reply(message.request, verdict, content=data)
         self._send(peer, reply)
 
+    async def _pass_reply(
+        self,
+        peer: session_lib.Endpoint,
+        reply: t.Coroutine[t.Any, t.Any, scheduling.Reply],
+    ) -> None:
+        self._send(peer, await reply)
+
     def _reply(
         self,
         peer: session_lib.Endpoint,
--- a/src/skylarkcleat/front/owner_heartbeats.py
+++ b/src/skylarkcleat/front/owner_heartbeats.py
@@ -84,6 +84,7 @@
             now,
             len(self._published),
             self._configuration_cache.version,
+            self._configuration_cache.evacuations.revision,
         )
         for front in self.list_fronts(now):
             self._send_sides(front, now)
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -125,7 +125,10 @@
         """Places tasks and sends the messages in the owner's outbox."""
         if self._owner is None:
             return
-        self._owner.place(clock_lib.read_monotonic())
+        now = clock_lib.read_monotonic()
+        zones = self._configuration_cache.evacuations.find_zones(now)
+        self._owner.update_zones(zones)
+        self._owner.place(now)
         for outgoing in self._owner.outbox.take():
             message = outgoing.message
             if isinstance(message, scheduling.Reply):
--- a/src/skylarkcleat/front/peer_discovery.py
+++ b/src/skylarkcleat/front/peer_discovery.py
@@ -80,6 +80,11 @@
             return self._handle_view(message, now)
         if isinstance(message, locating.FetchConfiguration):
             return self._configuration_cache.handle_fetch(message)
+        evacuations = self._configuration_cache.evacuations
+        if isinstance(message, locating.FetchEvacuations):
+            return evacuations.handle_fetch(message)
+        if isinstance(message, locating.GiveEvacuations):
+            return evacuations.handle_give(message)
         if isinstance(message, locating.Propose):
             self._bootstrap.receive(message)
         elif (
@@ -87,10 +92,9 @@
             and message.sender is not None
         ):
             self._peers.record_front(message.sender, now)
-        is_brief = isinstance(message, locating.ViewRequest) and (
-            message.is_brief
-        )
-        return self._describe(now, is_brief)
+        if isinstance(message, locating.ViewRequest):
+            return self._describe(now, message.is_brief, message.asked_at)
+        return self._describe(now)
 
     def announce_stop(self) -> None:
         """Tells each owner that it follows that it is about to stop.
@@ -110,6 +114,10 @@
     ) -> locating.FetchConfiguration | None:
         self._peers.merge(view, now)
         self._election.record_view(view, now)
+        evacuations = self._configuration_cache.evacuations
+        fetch = evacuations.handle_news(view.evacuations, now)
+        if fetch is not None:
+            self._send(view.sender.name, fetch)
         if not self._configuration_cache.record_version(view.version):
             return None
         return locating.FetchConfiguration(self._configuration_cache.version)
@@ -137,7 +145,7 @@
         local = self._describe_local(now)
         self._peers.record_front(local, now)
         for name in names:
-            self._send(name, locating.ViewRequest(local, is_brief))
+            self._send(name, locating.ViewRequest(local, is_brief, now))
 
     def _choose_targets(self, now: float) -> list[str]:
         peers = self._peers
@@ -159,7 +167,9 @@
             0,
         )
 
-    def _describe(self, now: float, is_brief: bool = False) -> locating.View:
+    def _describe(
+        self, now: float, is_brief: bool = False, asked_at: float = 0.0
+    ) -> locating.View:
         peers = self._peers
         return locating.View(
             self._describe_local(now),
@@ -169,6 +179,7 @@
             peers.log,
             self._bootstrap.promised,
             self._configuration_cache.version,
+            self._configuration_cache.evacuations.describe(now, asked_at),
         )
 
     def _record_log(self) -> None:
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -21,6 +21,7 @@
 from skylarkcleat.front import configuration_requests
 from skylarkcleat.front import drain as drain_lib
 from skylarkcleat.front import election_task as election_task_lib
+from skylarkcleat.front import evacuation_cache
 from skylarkcleat.front import job_requests as job_requests_lib
 from skylarkcleat.front import log_bootstrap
 from skylarkcleat.front import log_service as log_service_lib
@@ -30,6 +31,7 @@
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.front import service as service_lib
 from skylarkcleat.front import targets
+from skylarkcleat.front import zone_orders as zone_orders_lib
 from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
@@ -87,7 +89,8 @@
             now,
         )
         self._configuration_cache = configuration_cache_lib.ConfigurationCache(
-            store if log is not None else None
+            store if log is not None else None,
+            evacuation_cache.create_evacuation_cache(settings, store, log),
         )
         self._ownership = ownership_lib.Ownership(
             local, self._configuration_cache, self._send
@@ -133,6 +136,12 @@
             ),
             numbers,
         )
+        self._zone_orders = zone_orders_lib.ZoneOrders(
+            self._log_requests,
+            self._configuration_cache.evacuations,
+            self._pauses,
+            self._inform_owner,
+        )
         self._drain: drain_lib.Drain | None = None
         self._background = supervision.BackgroundTasks("leave the log")
 
@@ -204,6 +213,10 @@
         """Returns the newest configuration; None if that is not certain."""
         return await configuration_requests.read(self._log_requests)
 
+    async def order_zone(self, zone: str, evacuate: bool) -> scheduling.Reply:
+        """Returns a reply once an order for a zone is durable, or refused."""
+        return await self._zone_orders.carry_out(zone, evacuate)
+
     async def drain(self) -> None:
         """Stops being ready and waits for the open requests."""
         self._drain = drain_lib.Drain(
@@ -252,6 +265,11 @@
         port = self._settings.port_range[0]
         self._hub.send_any(name, f"tcp://{name}:{port}", message)
 
+    def _inform_owner(self, message: locating.GiveEvacuations) -> None:
+        owner = self._election.followed.name
+        if owner not in ("", self._hub.local.name):
+            self._send_any(owner, message)
+
     async def _receive_events(self) -> None:
         while True:
             self._contain_event(await self._hub.events.get())
--- a/src/skylarkcleat/front/service.py
+++ b/src/skylarkcleat/front/service.py
@@ -49,6 +49,15 @@
     ) -> scheduling.Reply:
         """Returns a reply once the configuration is durable."""
 
+    @abc.abstractmethod
+    async def order_zone(self, zone: str, evacuate: bool) -> scheduling.Reply:
+        """Returns a reply once an order for a zone is durable, or refused.
+
+        Args:
+            zone: The availability zone.
+            evacuate: Whether to evacuate it, or to return it to service.
+        """
+
     @abc.abstractmethod
     async def read_configuration(self) -> content.Configuration | None:
         """Returns the newest configuration; None if that is not certain."""
--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -11,6 +11,7 @@
 from skylarkcleat.metrics import label
 from skylarkcleat.metrics import metrics as metrics_lib
 from skylarkcleat.metrics import registry as registry_lib
+from skylarkcleat.metrics import zone_gauges
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import workers_log
 
@@ -109,6 +110,7 @@
         self._gauges = {
             name: registry.add_gauge(name, doc) for name, doc in _GAUGES.items()
         }
+        self._zones = zone_gauges.ZoneGauges(registry)
 
     def __call__(self, message: dict[str, t.Any]) -> None:
         """Takes in a log line."""
@@ -116,6 +118,7 @@
         self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
         if kind == active_job.JOB_ENDED:
             self._count_job(message)
+        self._zones.record(message)
         for gauge, read in _READINGS.get(kind, {}).items():
             self._gauges[gauge].set({}, read(message))
 
--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -9,6 +9,7 @@
 
 from skylarkcleat.front import service as service_lib
 from skylarkcleat.platform import configuration_body
+from skylarkcleat.platform import evacuation_path
 from skylarkcleat.platform import job_body
 from skylarkcleat.platform import names
 from skylarkcleat.protocol import scheduling
@@ -65,6 +66,9 @@
             return await self._put(request)
         if place == ("GET", names.CONFIGURATION_GET_PATH):
             return await self._get()
+        order = evacuation_path.decode_path(request.path)
+        if request.method == "POST" and order is not None:
+            return self._translate(await self._front.order_zone(*order))
         return self._respond(404, {})
 
     async def handle_ready(self, request: web.BaseRequest) -> web.Response:
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -44,6 +44,7 @@
 
     grace_s: float = msgspec.field(name="grace-s", default=6.0)
     max_hold_ms: int = msgspec.field(name="max-hold-ms", default=1000)
+    evacuate_ms: int = msgspec.field(name="evacuate-ms", default=5000)
 
 
 class FaultTolerance(msgspec.Struct):
@@ -73,6 +74,8 @@
         limits: The resources of the VM.
         fault_tolerance: What may be lost at the same time.
         bounds: Limits that the infrastructure guarantees.
+        zones: The region of each availability zone of the system; empty if
+            zones can't be evacuated.
     """
 
     node: str
@@ -90,6 +93,7 @@
         default_factory=FaultTolerance
     )
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    zones: dict[str, object] = msgspec.field(default_factory=dict)
 
 
 def load_settings(path: str = "") -> Settings:
--- a/src/skylarkcleat/protocol/locating.py
+++ b/src/skylarkcleat/protocol/locating.py
@@ -68,10 +68,27 @@
     Attributes:
         sender: The front that asks; None if a side process asks.
         is_brief: Whether the answer need not list the fronts.
+        asked_at: The sender's clock, in seconds; returned with the answer.
     """
 
     sender: FrontRef | None
     is_brief: bool = False
+    asked_at: float = 0.0
+
+
+class EvacuationNews(t.NamedTuple):
+    """What a front knows of evacuated zones, and how recent that is.
+
+    Attributes:
+        revision: The revision of the evacuations that it has.
+        age_ms: How long ago the log held no later revision, in milliseconds;
+            -1 if that is not known.
+        asked_at: `asked_at` of the request that this answers; 0 without one.
+    """
+
+    revision: int = 0
+    age_ms: int = -1
+    asked_at: float = 0.0
 
 
 class View(t.NamedTuple):
@@ -88,6 +105,7 @@
         promised_replicas: The initial replicas of the log that this front
             promised to accept; empty if it made no promise.
         version: The version of its configuration.
+        evacuations: What it knows of evacuated zones.
     """
 
     sender: FrontRef
@@ -97,6 +115,7 @@
     log: LogRef
     promised_replicas: tuple[str, ...]
     version: int
+    evacuations: EvacuationNews = EvacuationNews()
 
 
 class OwnerFound(t.NamedTuple):
@@ -127,6 +146,22 @@
     content: bytes
 
 
+class FetchEvacuations(t.NamedTuple):
+    """Asks a front for the evacuations, if newer than a revision."""
+
+    revision: int
+
+
+class GiveEvacuations(t.NamedTuple):
+    """Sends a front the evacuations.
+
+    Attributes:
+        content: The evacuations, encoded.
+    """
+
+    content: bytes
+
+
 LocatingMessage = (
     ViewRequest
     | View
@@ -134,4 +169,6 @@
     | Propose
     | FetchConfiguration
     | GiveConfiguration
+    | FetchEvacuations
+    | GiveEvacuations
 )
--- a/src/skylarkcleat/protocol/owning.py
+++ b/src/skylarkcleat/protocol/owning.py
@@ -23,6 +23,7 @@
         sent_at: The owner's clock, in seconds.
         sides: The number of side processes registered with the owner.
         version: The version of the owner's configuration.
+        evacuations: The revision of the evacuations that it obeys.
     """
 
     term: int
@@ -30,6 +31,7 @@
     sent_at: float
     sides: int
     version: int
+    evacuations: int = 0
 
 
 @codec.sent_as("BeatReply")
--- a/src/skylarkcleat/protocol/scheduling.py
+++ b/src/skylarkcleat/protocol/scheduling.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from skylarkcleat.configuration import content
+from skylarkcleat.configuration import evacuations
 from skylarkcleat.wire import codec
 
 
@@ -160,6 +161,24 @@
     request: int
 
 
+class ReadEvacuations(t.NamedTuple):
+    """Asks the log's leader for the evacuations."""
+
+    request: int
+
+
+class PutEvacuation(t.NamedTuple):
+    """Submits an operator's order for a zone to the log's leader.
+
+    Attributes:
+        request: The front's number for the request.
+        order: The order.
+    """
+
+    request: int
+    order: evacuations.Order
+
+
 class Reply(t.NamedTuple):
     """Answers a front's request.
 
@@ -170,7 +189,7 @@
         retry_after_ms: When the caller should retry, in milliseconds; 0 if
             unknown.
         count: The waiting jobs that were counted.
-        content: The configuration that was read, encoded.
+        content: The configuration or the evacuations that were read, encoded.
         version: The version of the configuration that decided it; 0 if none
             did.
     """
@@ -184,5 +203,7 @@
     version: int = 0
 
 
-LogMessage = PutConfiguration | ReadConfiguration
+LogMessage = (
+    PutConfiguration | ReadConfiguration | ReadEvacuations | PutEvacuation
+)
 FrontMessage = Submit | Abandon | JobRequest | LogMessage | Reply
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -102,6 +102,15 @@
                 verdict = scheduling.Verdict.UNCERTAIN
             self._end(job, verdict, detail, now, round(wait_s * 1000))
 
+    def refuse(
+        self, job: active_job.ActiveJob, detail: str, now: float
+    ) -> None:
+        """Refuses a job of which this owner has started no task."""
+        verdict = scheduling.Verdict.NOT_RUN
+        if job.may_have_run:
+            verdict = scheduling.Verdict.UNCERTAIN
+        self._end(job, verdict, detail, now)
+
     def _end(
         self,
         job: active_job.ActiveJob,
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -17,6 +17,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import adoption as adoption_lib
+from skylarkcleat.scheduling import evacuations as evacuations_lib
 from skylarkcleat.scheduling import follower_leases as follower_leases_lib
 from skylarkcleat.scheduling import job_endings as job_endings_lib
 from skylarkcleat.scheduling import job_queries
@@ -30,6 +31,7 @@
 from skylarkcleat.scheduling import starts as starts_lib
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.scheduling import workers as workers_lib
+from skylarkcleat.scheduling import zones_in_use
 from skylarkcleat.wire import session as session_lib
 
 
@@ -72,6 +74,9 @@
             state, self._adoption, run_endings
         )
         self._starts = starts_lib.Starts(state)
+        self._evacuations = evacuations_lib.Evacuations(
+            state, self._job_endings
+        )
         self._queries = job_queries.JobQueries(state, self._job_endings, now)
 
     @property
@@ -233,6 +238,10 @@
             self._jobs.needs_placement = True
         self.outbox.send(peer, leasing.Renewed(message.epoch, message.sent_at))
 
+    def update_zones(self, zones: zones_in_use.ZonesInUse) -> None:
+        """Sends tasks to the given zones only from now on."""
+        self._evacuations.update(zones)
+
     def handle_side_report(
         self, side: str, message: leasing.SideReport, now: float
     ) -> None:
@@ -248,6 +257,7 @@
         self._workers.expire_unreported(now)
         self._workers.settling.log_progress(self.workers, now)
         self._workers.log_closed(now)
+        self._evacuations.tick(now)
         self._job_endings.end_abandoned(now)
         self._job_endings.refuse_unservable(now)
 
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -67,6 +67,7 @@
             lack of room that is not known here, in seconds.
         trial_until: Until when it gets no other task, in seconds: the last
             one may have crashed a runner, and is to blame if this one crashes.
+        zone_obstacle: Why its zone gets no tasks; `NONE` if it is in use.
         runs: The runs there, by task.
         speed: The measured speed of the runner.
         factor: The expected duration of tasks there relative to the average
@@ -103,6 +104,7 @@
         self.has_restarted = False
         self.paused_until = 0.0
         self.trial_until = 0.0
+        self._zone_obstacle = worker_phase.Closed.NONE
         self._started_at: collections.deque[float] = collections.deque()
         self.runs: dict[str, placed_run.PlacedRun] = {}
         self.speed = speed
@@ -135,6 +137,16 @@
         self._phase = phase
         self._changes.record(self.side)
 
+    @property
+    def zone_obstacle(self) -> worker_phase.Closed:
+        """Why its zone gets no tasks; `NONE` if it is in use."""
+        return self._zone_obstacle
+
+    @zone_obstacle.setter
+    def zone_obstacle(self, obstacle: worker_phase.Closed) -> None:
+        self._zone_obstacle = obstacle
+        self._changes.record(self.side)
+
     @property
     def unresponsive_since(self) -> float | None:
         """Since when its runner does not respond, in seconds, if so."""
@@ -184,6 +196,7 @@
             and self._runner is not None
             and not self._runner.draining
             and self._unresponsive_since is None
+            and self._zone_obstacle is worker_phase.Closed.NONE
         )
 
     def is_open(self, now: float) -> bool:
@@ -204,6 +217,8 @@
             return worker_phase.Closed.NO_RUNNER
         if self.runner.draining:
             return worker_phase.Closed.DRAINING
+        if self._zone_obstacle is not worker_phase.Closed.NONE:
+            return self._zone_obstacle
         if self._unresponsive_since is not None:
             return worker_phase.Closed.UNRESPONSIVE
         if now >= self.granted_at + lease.FRONT_LEASE_S:
--- a/src/skylarkcleat/scheduling/worker_phase.py
+++ b/src/skylarkcleat/scheduling/worker_phase.py
@@ -29,3 +29,5 @@
     TOO_NEW = "too-new"
     PAUSED = "paused"
     LEASE_LATE = "lease-late"
+    EVACUATED = "evacuated"
+    ZONE_UNKNOWN = "zone-unknown"
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -21,6 +21,7 @@
 from skylarkcleat.scheduling import worker_changes as worker_changes_lib
 from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.scheduling import workers_log
+from skylarkcleat.scheduling import zones_in_use
 from skylarkcleat.wire import session as session_lib
 
 GROWTH_WINDOW_S = 1.0
@@ -40,6 +41,7 @@
     Attributes:
         by_side: The side processes that hold a lease, by name.
         settling: Those that may run tasks of a previous owner.
+        zones: The zones that get tasks.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
     ) -> None:
         self.by_side: dict[str, worker_lib.Worker] = {}
         self.settling = settling_lib.Settling(settled_at, now)
+        self.zones = zones_in_use.ALL_IN_USE
         self._joined_at: dict[str, float] = {}
         self._unknown: dict[str, None] = {}
         self._speeds: dict[str, speed_lib.RunnerSpeed] = {}
@@ -107,6 +110,7 @@
         worker = worker_lib.Worker(
             message, peer, now, open_at, speed, self._changes, order
         )
+        worker.zone_obstacle = self.zones.find_obstacle(worker.zone)
         if previous is not None:
             worker.inherit(previous)
         self.by_side[message.side] = worker
@@ -125,6 +129,12 @@
             del self._unknown[side]
             self.by_side[side].open_at = now
 
+    def update_zones(self, zones: zones_in_use.ZonesInUse) -> None:
+        """Sends tasks to the given zones only from now on."""
+        self.zones = zones
+        for worker in self.by_side.values():
+            worker.zone_obstacle = zones.find_obstacle(worker.zone)
+
     def find(self, side: str, epoch: int) -> worker_lib.Worker | None:
         """Returns the worker with a lease, or None if that is not current."""
         worker = self.by_side.get(side)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -89,9 +89,18 @@
 
 
 class Fleet:
-    """Three fronts with a disk, one without, and two sides with runners."""
+    """Three fronts with a disk, one without, and two sides with runners.
 
-    def __init__(self, folder: pathlib.Path, ip_block: int) -> None:
+    The settings name zones only if `side_zones` lists those of the sides.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        ip_block: int,
+        side_zones: t.Sequence[str] = (),
+    ) -> None:
+        self._side_zones = side_zones
         self.folder = folder
         self.fronts: list[Process] = []
         self.sides: list[Process] = []
@@ -196,12 +205,17 @@
             f'[listen]\nfront = "{ip}:{port + 2}"\n'
             f'control = "{ip}:{port + 3}"\nready = "{ip}:{port + 4}"\n'
         )
+        if self._side_zones:
+            zones = [f'{zone} = "region"\n' for zone in {*self._side_zones}]
+            text += "[zones]\n" + "".join(zones)
         return Process("front", ip, self.folder, text)
 
     def _create_side(self, number: int) -> Process:
         ip = self._ip(number + 11)
         port = self._port
         text = self._common(ip, has_disk=False, bootstrap=True)
+        if self._side_zones:
+            text = text.replace('"z"', f'"{self._side_zones[number]}"')
         text += (
             f'app = "{ip}:{port + 5}"\nservice = "{fake_runner.SERVICE}"\n'
             f'[listen]\ncontrol = "{ip}:{port + 3}"\n'
@@ -264,6 +278,19 @@
             assert time.monotonic() < end, "the configuration is not answered"
             await asyncio.sleep(_POLL_S)
 
+    async def order(self, front: int, zone: str, action: str) -> int:
+        """Sends an order for a zone until it is answered, as operators do."""
+        path = f"/api/evacuations/{zone}/{action}"
+        end = time.monotonic() + START_TIMEOUT_S
+        while True:
+            url = self.fleet.control_url(front, path)
+            with contextlib.suppress(aiohttp.ClientError):
+                status, _ = await self.call("POST", url)
+                if status < 500:
+                    return status
+            assert time.monotonic() < end, "the order is not answered"
+            await asyncio.sleep(_POLL_S)
+
     async def configure(self) -> None:
         """Puts a first configuration and waits until jobs are served."""
         await self.put(0, 1)
@@ -320,11 +347,14 @@
 
 @contextlib.asynccontextmanager
 async def open_fleet(
-    folder: pathlib.Path, ip_block: int, is_awaited: bool = True
+    folder: pathlib.Path,
+    ip_block: int,
+    is_awaited: bool = True,
+    side_zones: t.Sequence[str] = (),
 ):
     """Starts a fleet, and waits until its fronts are ready."""
     async with contextlib.AsyncExitStack() as stack:
-        fleet = Fleet(folder, ip_block)
+        fleet = Fleet(folder, ip_block, side_zones)
         await fleet.open(stack)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         client = Client(fleet, session)
