--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -204,35 +204,42 @@
         hub = network_lib.Hub(self.network, process)
         life = f"{self._seed}-{name}-{process.incarnation}"
         generator = random.Random(life)
-        settings = settings_lib.Settings(
-            node=name,
-            ip=name,
-            zone="z",
-            port_range=(1, 2),
-            seeds=tuple(f"{each}:1" for each in self._fronts[:3]),
-            limits=settings_lib.MachineLimits(
-                cores=WEAK_CORES if name in self._weak else 1.0
-            ),
-        )
+        settings = self._create_settings(name)
         if name in self.runners:
             created = side_process.SideProcess(
                 settings, hub, self.runners[name], generator
             )
             process.spawn(self._report(created, self.runners[name]))
         else:
-            created = front_process.FrontProcess(
-                settings,
-                hub,
-                None,
-                None,
-                generator,
-                bootstrap_record.RecordKeeper(None, None),
-            )
+            created = self._create_front(settings, hub, generator)
             created._configuration_cache.update(self._configuration)
             self.fronts[name] = created
         for task in created.list_tasks():
             process.spawn(task)
 
+    def _create_settings(self, name: str) -> settings_lib.Settings:
+        return settings_lib.Settings(
+            node=name,
+            ip=name,
+            zone="z",
+            port_range=(1, 2),
+            seeds=tuple(f"{each}:1" for each in self._fronts[:3]),
+            limits=settings_lib.MachineLimits(
+                cores=WEAK_CORES if name in self._weak else 1.0
+            ),
+        )
+
+    def _create_front(
+        self,
+        settings: settings_lib.Settings,
+        hub: network_lib.Hub,
+        generator: random.Random,
+    ) -> front_process.FrontProcess:
+        keeper = bootstrap_record.RecordKeeper(None, None)
+        return front_process.FrontProcess(
+            settings, hub, None, None, generator, keeper
+        )
+
     async def _report(
         self, side: side_process.SideProcess, runner: runner_lib.Runner
     ) -> None:
