Prefer warm runners to cold ones

Cause: the runners of a zone that returns to service are cold for a while; what they report of it was read and thrown away.

Ruled out: keeping tasks from cold runners altogether (a zone that has just returned would stay idle while jobs wait).

Change: a side process passes on for how long its runner is cold, and the owner takes tasks there to last 1.5 times as long until then. The count of recent starts and the lateness of jobs move out of worker.py.

Conclusion: a cold runner gets tasks after a warm one of its speed. Whether 1.5 is right was not measured: the platform does not say how slow they are.

--- a/src/skylarkcleat/platform/runner_body.py
+++ b/src/skylarkcleat/platform/runner_body.py
@@ -161,6 +161,7 @@
         decoded.capacity.gpu,
         decoded.labels,
         decoded.state == _DRAINING,
+        max(round(decoded.cold_remaining_ms), 0),
     )
     return Heartbeat(
         described, decoded.address, decoded.sequence, decoded.clock_ms
--- a/src/skylarkcleat/protocol/leasing.py
+++ b/src/skylarkcleat/protocol/leasing.py
@@ -24,6 +24,7 @@
         gpu: Its accelerators.
         labels: Labels for its type and its rack.
         draining: Whether it accepts no new tasks.
+        cold_ms: How much longer it is slow after its start, in milliseconds.
     """
 
     id: str
@@ -34,6 +35,7 @@
     gpu: int
     labels: tuple[str, ...]
     draining: bool
+    cold_ms: int = 0
 
 
 class Register(t.NamedTuple):
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -234,7 +234,7 @@
             return
         worker.granted_at = now
         if message.runner != worker.runner and message.runner is not None:
-            worker.runner = message.runner
+            worker.update_runner(message.runner, now)
             self._jobs.needs_placement = True
         self.outbox.send(peer, leasing.Renewed(message.epoch, message.sent_at))
 
--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import collections
 import math
 
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
-from skylarkcleat.scheduling import crashes as crashes_lib
+from skylarkcleat.scheduling import cold_start
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import placed_run
+from skylarkcleat.scheduling import recent_starts
 from skylarkcleat.scheduling import runner_life
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker_changes as worker_changes_lib
@@ -105,9 +105,11 @@
         self.paused_until = 0.0
         self.trial_until = 0.0
         self._zone_obstacle = worker_phase.Closed.NONE
-        self._started_at: collections.deque[float] = collections.deque()
+        self._recent_starts = recent_starts.RecentStarts()
         self.runs: dict[str, placed_run.PlacedRun] = {}
         self.speed = speed
+        self._cold_start = cold_start.ColdStart()
+        self._cold_start.record(register.runner, now)
         self.factor = speed.find_factor(now)
         self.factor_due_at = now
         self._used_cpu = 0
@@ -127,6 +129,12 @@
         self._last_runner = self._runner or self._last_runner
         self._update_room()
 
+    def update_runner(self, runner: leasing.Runner, now: float) -> None:
+        """Replaces the runner's description by one that has just arrived."""
+        self.runner = runner
+        self._cold_start.record(runner, now)
+        self._expire_factor(now)
+
     @property
     def phase(self) -> worker_phase.Phase:
         """Whether it has reported its runs."""
@@ -173,7 +181,7 @@
         """Takes over the runs of an earlier lease, until they are reported."""
         for placed in previous.runs.values():
             self.add(placed)
-        self._started_at = previous._started_at
+        self._recent_starts = previous._recent_starts
         self.trial_until = previous.trial_until
         self._last_runner = previous._last_runner
         self.runner = self._runner
@@ -246,7 +254,8 @@
             base_s: The expected duration on an average runner, in seconds.
             now: The time, in seconds.
         """
-        self.speed.record_duration(took_s, base_s, now)
+        warm_s = took_s / self._cold_start.find_factor(now)
+        self.speed.record_duration(warm_s, base_s, now)
         self._expire_factor(now)
 
     def update_factor(self, now: float) -> None:
@@ -262,25 +271,13 @@
         if next_late_at > now:
             self.factor = self.speed.find_factor(now)
         else:
-            lateness = self._find_lateness(now)
+            lateness = placed_run.list_lateness(self.runs.values(), now)
             self.factor = self.speed.find_current_factor(now, lateness)
-        due_at = min(next_late_at, self.speed.find_decay_at(now))
+        self.factor *= self._cold_start.find_factor(now)
+        decay_at = self.speed.find_decay_at(now)
+        due_at = min(next_late_at, decay_at, self._cold_start.find_end(now))
         self.factor_due_at = max(due_at, now + FACTOR_INTERVAL_S)
 
-    def _find_lateness(self, now: float) -> list[float]:
-        """Returns how late each job is that has runs here.
-
-        The tasks of a job share the error of its estimate, so only the least
-        late of them counts.
-        """
-        lateness: dict[str, float] = {}
-        for run in self.runs.values():
-            if run.expected_s > 0:
-                job = run.task.partition(".")[0]
-                late = (now - run.started_at) / run.expected_s
-                lateness[job] = min(late, lateness.get(job, late))
-        return list(lateness.values())
-
     def fits(self, step: scheduling.Step) -> bool:
         """Returns whether the runner has room for a task of a step."""
         runner = self._runner
@@ -316,14 +313,11 @@
 
     def record_start(self, now: float) -> None:
         """Records that a start was ordered."""
-        self._started_at.append(now)
-        while self._started_at[0] <= now - crashes_lib.FRESH_S:
-            self._started_at.popleft()
+        self._recent_starts.record(now)
 
     def count_recent_starts(self, now: float) -> int:
         """Returns how many starts were ordered only a moment before a time."""
-        since = now - crashes_lib.FRESH_S
-        return sum(at > since for at in self._started_at)
+        return self._recent_starts.count(now)
 
     def remove(self, task: str, run: int) -> placed_run.PlacedRun | None:
         """Removes a run that is over; returns it, or None if unknown."""
--- a/src/skylarkcleat/side/process.py
+++ b/src/skylarkcleat/side/process.py
@@ -89,7 +89,7 @@
             return
         self._heartbeat_sequence = heartbeat.sequence
         runner = runner_life.keep_draining(known, runner)
-        if known != runner:
+        if known is None or known._replace(cold_ms=runner.cold_ms) != runner:
             eliot.log_message(
                 "side:runner",
                 runner=runner.id,
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -94,9 +94,8 @@
 
 
 def test_decodes_a_heartbeat():
-    heartbeat = runner_body.decode_heartbeat(
-        "i-1", json.dumps(fake_runner.HEARTBEAT).encode()
-    )
+    body = fake_runner.HEARTBEAT | {"cold-remaining-ms": 740.4}
+    heartbeat = runner_body.decode_heartbeat("i-1", json.dumps(body).encode())
     assert heartbeat.runner == leasing.Runner(
         "i-1",
         1700000000000,
@@ -106,6 +105,7 @@
         0,
         ("a", "r1-3"),
         False,
+        740,
     )
 
 
--- a/tests/test_scheduling_evacuations.py
+++ b/tests/test_scheduling_evacuations.py
@@ -12,6 +12,7 @@
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import cold_start
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import workers as workers_lib
@@ -139,6 +140,23 @@
     assert _place(owner)[0] == ["side-x"]
 
 
+# Guards against a cold runner that gets as many tasks as a warm one, that gets
+# none, and that counts as slow once it is warm.
+def test_a_cold_runner_gets_tasks_after_a_warm_one(owner):
+    worker = owner.workers["side-e"]
+    cold = worker.runner._replace(cold_ms=500)
+    peer = session_lib.Endpoint("side-e", 1)
+    owner.renew(peer, leasing.Renew(1, 0.0, cold), LATER)
+    _submit(owner, tasks=2)
+    assert _place(owner)[0] == ["side-w"] * 2
+    _submit(owner)
+    assert _place(owner)[0] == ["side-e"]
+    worker.update_factor(LATER + 0.49)
+    assert worker.factor == cold_start.COLD_FACTOR
+    worker.update_factor(LATER + 0.51)
+    assert worker.factor == 1.0
+
+
 # Guards against gauges that go on showing an evacuation that is over.
 def test_gauges_show_the_evacuated_zones():
     metrics = decisions.DecisionMetrics()
