--- a/tests/test_evacuation_plays.py
+++ b/tests/test_evacuation_plays.py
@@ -18,6 +18,7 @@
     "both": (zones_lib.ZONES, lambda *_: None, HEARTBEAT_S),
     "lost-east": (("east",), _World.lose_owner, EVACUATE_S),
     "lost-west": (("west",), _World.lose_owner, EVACUATE_S),
+    "leader": (("east",), _World.lose_leader, HEARTBEAT_S),
     "late": (("west",), _World.hold_up_owner, EVACUATE_S),
     "cut-east": (("east",), _World.cut_owner_off, EVACUATE_S),
     "cut-west": (("west",), _World.cut_owner_off, EVACUATE_S),
@@ -25,8 +26,9 @@
 
 
 # Guards against an owner that goes on starting tasks in an evacuated zone: its
-# own, the one with most disks (`east`), both zones, as it is lost, as all that
-# it hears is late, and as it is cut off together with the zone.
+# own, the one with most disks (`east`), both zones, as it is lost, as the
+# log's leader is, as all that it hears is late, and as it is cut off together
+# with the zone.
 @pytest.mark.parametrize(
     ("zones", "trouble", "within_s"), PLAYS.values(), ids=PLAYS
 )
