Give the simulated hub the count of bytes that an owner reads

The model's tests failed since with "'Hub' object has no attribute 'bytes_sent'": the stand-in of the hub lacked it, and these tests weren't run then.

--- a/tests/ownership_network.py
+++ b/tests/ownership_network.py
@@ -102,6 +102,7 @@
     def __init__(self, network: Network, process: virtual_loop.Process):
         self.local = session_lib.Endpoint(process.name, process.incarnation)
         self.events: asyncio.Queue = asyncio.Queue()
+        self.bytes_sent = 0
         self._network = network
         network.hubs[process.name] = self
 
