Share a short capacity among queues, and decide on a job as it arrives

Cause: jobs went by their latest start alone, so in a lasting overload each was served when it was about to be late; runners slower than the average and jobs of many tasks then missed it. Jobs of few tasks took each core as it was freed. The priority of a queue was used nowhere, and a job was refused only when it could not start before it was of no use.

Change: the capacity (cores by measured speed) is divided by water-filling, with weights 1/(1 + priority); what a queue does not use is lent. A job is accepted if its queue's accepted work, at its rate, delays it by at most 0.3 of its slack; others wait for what is left, the latest arrivals first. Those that can't end in time any more are refused while an upstream is short and enough other work waits. An accepted job that does not fit reserves room for 0.02 s. Retry-After covers the wait in its queue. Decisions are made each 0.02 s instead of 0.05 s.

--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -126,6 +126,7 @@
         objective_s: How long the whole job may take, in seconds.
         started: Whether any task was ever ordered to start or adopted.
         may_have_run: Whether an earlier owner may have started a task.
+        blocked_since: Since when it has not fitted, in seconds, if so.
         history: The events of its runs, at most `MAX_HISTORY`.
     """
 
@@ -149,6 +150,7 @@
         self.objective_s = queue.stretch * self.expected_s + target_s
         self.started = False
         self.may_have_run = False
+        self.blocked_since: float | None = None
         self.history: list[RunRecord] = []
         self._startable: list[Task] | None = None
         self._shape: unfit_shapes.Shape | None = None
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -1,35 +1,43 @@
 """The order in which waiting jobs get capacity.
 
-Keeps bursts of long jobs from delaying short ones: jobs that can still end in
-time go first, by their latest start time; jobs that are already late get the
-remaining capacity.
+Keeps bursts of long jobs from delaying short ones, and lasting overloads from
+making every job late: jobs that their queue's share of the capacity can serve
+in time go first, by their latest start time; the others get what is left, the
+latest arrivals first, since those can still be of use.
 """
 
 from __future__ import annotations
 
-import itertools
 import math
 import typing as t
 
 import sortedcontainers
 
 from skylarkcleat.scheduling import active_job
+from skylarkcleat.scheduling import capacity_shares
+from skylarkcleat.scheduling import placement_pass
+from skylarkcleat.scheduling import queue_line as queue_line_lib
 
-MAX_BLOCKED = 24
-"""After this many jobs without enough capacity a pass ends."""
+HELD_S = 1.0
+"""A job that can't end in time is refused only while this much work, at the
+rate of all runners, waits beside it: no runner is idle within a second because
+of a refusal."""
 
-MAX_SKIPPED = 24
-"""After this many jobs that may not overtake a pass ends as well."""
+SHORTAGE_S = queue_line_lib.DEMAND_WINDOW_S
+"""How long a shortage lasts at least, since the demand is averaged over it."""
 
-LONGER = 4.0
-"""A job that takes more than this many times longer doesn't overtake one that
-waits for capacity: it would occupy it for many times the other's objective."""
+HELD_BRIEFLY_S = 0.1
+"""The same for a job that is useless before the shortage can end, and would be
+refused later. At 0.7 of the capacity, usual after an overload, the runners are
+busy for 0.3 s with what is kept."""
 
 
 class _Entry(t.NamedTuple):
-    latest_start: float
+    rank: float
     number: int
     job: active_job.ActiveJob
+    line: queue_line_lib.QueueLine
+    core_s: float
 
 
 class Backlog:
@@ -37,6 +45,7 @@
 
     Attributes:
         is_full: Whether the last pass ended since so many jobs did not fit.
+        deferred_core_s: The work of the jobs that only get what is left.
     """
 
     def __init__(self) -> None:
@@ -45,72 +54,105 @@
         self._late: sortedcontainers.SortedList[_Entry]
         self._late = sortedcontainers.SortedList()
         self._entries: dict[str, _Entry] = {}
+        self._added: dict[str, active_job.ActiveJob] = {}
+        self._lines: dict[str, queue_line_lib.QueueLine] = {}
         self._number = 0
+        self._short: dict[str, float] = {}
         self.is_full = False
 
     def __len__(self) -> int:
         """Returns how many jobs there are."""
-        return len(self._entries)
+        return len(self._entries) + len(self._added)
 
     def add(self, job: active_job.ActiveJob) -> None:
         """Adds a job, unless it is there."""
-        if job.job.id in self._entries:
-            return
-        self._number += 1
-        entry = _Entry(job.latest_start, self._number, job)
-        self._entries[job.job.id] = entry
-        self._timely.add(entry)
+        if job.job.id not in self._entries:
+            self._added[job.job.id] = job
 
     def remove(self, job: active_job.ActiveJob) -> None:
         """Removes a job, if it is there."""
+        self._added.pop(job.job.id, None)
         entry = self._entries.pop(job.job.id, None)
-        if entry is not None:
-            self._timely.discard(entry)
+        if entry is None:
+            return
+        if entry in self._timely:
+            self._timely.remove(entry)
+            entry.line.ahead_core_s -= entry.core_s
+        else:
             self._late.discard(entry)
 
-    def place(
-        self, now: float, place: t.Callable[[active_job.ActiveJob], bool]
-    ) -> None:
+    def place(self, now: float, place: placement_pass.Placer) -> None:
         """Offers capacity to each job in turn.
 
         Args:
             now: The time, in seconds.
-            place: Starts a job's tasks; returns whether it started all that
-                wait, so that the job leaves the backlog.
+            place: Starts a job's tasks; a job that is placed leaves the
+                backlog.
         """
-        self._move_late(now)
-        placed: list[active_job.ActiveJob] = []
-        self.is_full = self._offer(now, place, placed)
-        for job in placed:
+        self._sort_in(now)
+        offers = placement_pass.PlacementPass(now, place)
+        for entry in self._timely:
+            if not offers.offer(entry.job, is_timely=True):
+                break
+        for entry in self._late:
+            if not offers.offer(entry.job, is_timely=False):
+                break
+        self.is_full = offers.is_over
+        for job in offers.placed:
             self.remove(job)
 
-    def _offer(
-        self,
-        now: float,
-        place: t.Callable[[active_job.ActiveJob], bool],
-        placed: list[active_job.ActiveJob],
-    ) -> bool:
-        """Offers capacity; returns whether it ended before all were asked."""
-        blocked = 0
-        skipped = 0
-        shortest_s = math.inf
-        for entry in itertools.chain(self._timely, self._late):
-            job = entry.job
-            is_timely = entry.latest_start > now
-            if is_timely and job.expected_s > LONGER * shortest_s:
-                skipped += 1
-                if skipped >= MAX_SKIPPED:
-                    return True
-                continue
-            if place(job):
-                placed.append(job)
+    def review(self, now: float, capacities: t.Mapping[str, float]) -> None:
+        """Divides the capacity among the queues.
+
+        Args:
+            now: The time, in seconds.
+            capacities: The work that the runners of each upstream can do, in
+                core-seconds a second; unknown for those that are left out.
+        """
+        self._sort_in(now)
+        by_upstream: dict[str, list[queue_line_lib.QueueLine]] = {}
+        for line in self._lines.values():
+            line.update_demand(now)
+            by_upstream.setdefault(line.upstream, []).append(line)
+        self._short.clear()
+        for upstream, lines in by_upstream.items():
+            capacity = capacities.get(upstream, math.inf)
+            if _divide(lines, capacity) <= 0:
+                self._short[upstream] = capacity
+
+    def find_retry_s(self, job: active_job.ActiveJob) -> float:
+        """Returns when a job like this one would be accepted, from now on."""
+        line = self._find_line(job)
+        slack_s = job.objective_s - job.expected_s
+        limit_s = queue_line_lib.find_wait_limit_s(slack_s)
+        wait_s = line.find_wait_s()
+        return max(wait_s - limit_s, 0.0) if math.isfinite(wait_s) else 0.0
+
+    def list_surplus(self, now: float) -> list[active_job.ActiveJob]:
+        """Returns the jobs to refuse since others can use the capacity better.
+
+        Those that can no longer end in time, the oldest first, of upstreams
+        whose queues ask for more than the runners can do. Enough work is kept
+        that no runner is idle soon after a refusal.
+        """
+        if not self._short:
+            return []
+        waiting = dict.fromkeys(self._short, 0.0)
+        for line in self._lines.values():
+            if line.upstream in waiting:
+                waiting[line.upstream] += line.ahead_core_s
+        surplus = []
+        for entry in self._late:
+            upstream, job = entry.line.upstream, entry.job
+            if upstream not in waiting:
                 continue
-            if is_timely:
-                shortest_s = min(shortest_s, job.expected_s)
-            blocked += 1
-            if blocked >= MAX_BLOCKED:
-                return True
-        return False
+            if not job.started and job.latest_start < now:
+                held_s = _find_held_s(job, now)
+                if waiting[upstream] >= held_s * self._short[upstream]:
+                    surplus.append(job)
+                    continue
+            waiting[upstream] += entry.core_s
+        return surplus
 
     def forecast(
         self, now: float, cores: float
@@ -126,12 +168,76 @@
             cores: The cores of all open runners; if 0, work ahead counts as
                 no delay.
         """
-        self._move_late(now)
+        self._sort_in(now)
         ahead = 0.0
-        for entry in [*self._timely, *self._late]:
-            yield entry.job, now + (ahead / cores if cores else 0.0)
-            ahead += entry.job.find_waiting_core_s()
+        for entries in (self._timely, self._late):
+            for entry in entries:
+                yield entry.job, now + (ahead / cores if cores else 0.0)
+                ahead += entry.job.find_waiting_core_s()
+
+    def _sort_in(self, now: float) -> None:
+        while self._timely and self._timely[0].rank < now:
+            entry = self._timely.pop(0)
+            entry.line.ahead_core_s -= entry.core_s
+            self._defer(entry.job, entry.line, entry.core_s)
+        added, self._added = self._added, {}
+        for job in added.values():
+            self._admit(job, now)
+
+    def _admit(self, job: active_job.ActiveJob, now: float) -> None:
+        line = self._find_line(job)
+        core_s = job.find_waiting_core_s()
+        if not job.started:
+            line.record_arrival(core_s)
+        is_timely = job.latest_start > now
+        if not is_timely or not (job.started or line.accepts(job, now)):
+            self._defer(job, line, core_s)
+            return
+        self._number += 1
+        entry = _Entry(job.latest_start, self._number, job, line, core_s)
+        line.ahead_core_s += core_s
+        self._entries[job.job.id] = entry
+        self._timely.add(entry)
 
-    def _move_late(self, now: float) -> None:
-        while self._timely and self._timely[0].latest_start < now:
-            self._late.add(self._timely.pop(0))
+    def _defer(
+        self,
+        job: active_job.ActiveJob,
+        line: queue_line_lib.QueueLine,
+        core_s: float,
+    ) -> None:
+        self._number += 1
+        entry = _Entry(-job.submitted_at, self._number, job, line, core_s)
+        self._entries[job.job.id] = entry
+        self._late.add(entry)
+
+    def _find_line(self, job: active_job.ActiveJob) -> queue_line_lib.QueueLine:
+        queue = job.queue
+        line = self._lines.get(queue.name)
+        if line is None or line.upstream != queue.upstream:
+            line = queue_line_lib.QueueLine(queue.upstream, queue.priority)
+            self._lines[queue.name] = line
+        return line
+
+
+def _find_held_s(job: active_job.ActiveJob, now: float) -> float:
+    """Returns how much other work keeps a late job, in s of all runners."""
+    useful_s = job.useless_at - job.expected_s - now
+    return HELD_S if useful_s > SHORTAGE_S else HELD_BRIEFLY_S
+
+
+def _divide(
+    lines: t.Sequence[queue_line_lib.QueueLine], capacity: float
+) -> float:
+    """Sets the rates of an upstream's queues; returns what none asks for."""
+    if math.isinf(capacity):
+        for line in lines:
+            line.rate = math.inf
+        return math.inf
+    demands = [
+        capacity_shares.Demand(line.weight, line.demand) for line in lines
+    ]
+    parts = capacity_shares.fill(capacity, demands)
+    spare = max(capacity - sum(parts), 0.0)
+    for line, part in zip(lines, parts, strict=True):
+        line.rate = part + spare
+    return spare
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -11,9 +11,9 @@
 from skylarkcleat.scheduling import job_table as job_table_lib
 from skylarkcleat.scheduling import owner_state
 
-REFUSAL_INTERVAL_S = 0.05
-"""The interval at which jobs that can't start in time are searched for and
-refused."""
+REFUSAL_INTERVAL_S = 0.02
+"""The interval at which the capacity is divided among the queues, and jobs that
+can't start in time are refused: under a tenth of the shortest objectives."""
 
 
 class JobEndings:
@@ -91,8 +91,11 @@
         if self._state.workers.is_growing(now):
             # What the first runners have room for says little of what comes.
             cores = 0.0
+        capacities = self._state.workers.find_capacities(now)
+        self._state.jobs.backlog.review(now, capacities)
         begin_at = max(now, settling.settled_at)
         unservable, wait_s = self._state.jobs.list_unservable(begin_at, cores)
+        unservable += self._list_surplus(unservable, now)
         detail = active_job.NO_ROOM if workers else active_job.NO_RUNNER
         if not settling.is_settled(now):
             detail = active_job.OWNER_WAITS
@@ -100,7 +103,19 @@
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
                 verdict = scheduling.Verdict.UNCERTAIN
-            self._end(job, verdict, detail, now, round(wait_s * 1000))
+            retry_s = max(wait_s, self._state.jobs.backlog.find_retry_s(job))
+            self._end(job, verdict, detail, now, round(retry_s * 1000))
+
+    def _list_surplus(
+        self, known: list[active_job.ActiveJob], now: float
+    ) -> list[active_job.ActiveJob]:
+        """Returns more jobs to refuse, of which no runner ran anything."""
+        ids = {job.job.id for job in known}
+        return [
+            job
+            for job in self._state.jobs.backlog.list_surplus(now)
+            if job.job.id not in ids and job.unattended_since is None
+        ]
 
     def _end(
         self,
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -9,6 +9,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
 from skylarkcleat.scheduling import known_capacity
+from skylarkcleat.scheduling import offer_result
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import placement
@@ -82,17 +83,21 @@
             shape = shape._replace(count=1)
         return self._unfit.covers(shape)
 
-    def _place_job(self, job: active_job.ActiveJob, now: float) -> bool:
+    def _place_job(
+        self, job: active_job.ActiveJob, now: float
+    ) -> offer_result.OfferResult:
         # Most jobs of an overload end here, so what costs least comes first.
-        if now < job.startable_at or self._is_unfit(job):
-            return False
+        if now < job.startable_at:
+            return offer_result.OfferResult.HELD
+        if self._is_unfit(job):
+            return offer_result.OfferResult.NO_ROOM
         waiting = job.list_startable()
         if not job.started and not self._has_room(job, waiting, now):
-            return False
+            return offer_result.OfferResult.NO_ROOM
         if not self._state.is_attended(job, now):
-            return False
+            return offer_result.OfferResult.HELD
         if any(self._is_stopping(task) for task in waiting):
-            return False
+            return offer_result.OfferResult.HELD
         workers, upstream = self._state.workers, job.queue.upstream
         for task in waiting:
             step = job.job.steps[task.step]
@@ -110,11 +115,11 @@
             )
             if choice is None:
                 self._record_full(job, step, now)
-                return False
+                return offer_result.OfferResult.HELD
             if crashes.is_suspect:
                 choice[0].trial_until = now + crashes_lib.FRESH_S
             self._start(job, task, choice[0], choice[1], now)
-        return True
+        return offer_result.OfferResult.PLACED
 
     def _has_room(
         self,
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -23,6 +23,10 @@
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
 
+PACKED_SHARE = 0.8
+"""The part of a runner's cores that a full runner's tasks use: tasks of a tenth
+of its cores, as on the large deployments, leave half of one free on average."""
+
 GROWTH_WINDOW_S = 1.0
 """The fleet is growing while half of the side processes, and more than one,
 have joined within this time, as after a power loss of all VMs: they start
@@ -185,6 +189,24 @@
         """Returns the workers that may be sent tasks."""
         return [each for each in self.by_side.values() if each.is_open(now)]
 
+    def find_capacities(self, now: float) -> dict[str, float]:
+        """Returns the work that the open runners of each upstream can do.
+
+        Returns:
+            In core-seconds of an average runner a second, by upstream; none
+            while many more runners may join, as after the first one has.
+        """
+        capacities: dict[str, float] = {}
+        since = now - GROWTH_WINDOW_S
+        recent = sum(self._joined_at[side] > since for side in self.by_side)
+        if 2 * recent >= len(self.by_side):
+            return capacities
+        for worker in self.list_open(now):
+            upstream = worker.runner.upstream
+            rate = PACKED_SHARE * worker.runner.cpu / 1000 / worker.factor
+            capacities[upstream] = capacities.get(upstream, 0.0) + rate
+        return capacities
+
     def is_growing(self, now: float) -> bool:
         """Returns whether many more side processes may join at any moment."""
         since = now - GROWTH_WINDOW_S
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -136,7 +136,10 @@
 
 
 class Outcome(t.NamedTuple):
-    """How one job ended, when it was submitted and whether it could be done."""
+    """How one job ended, when it was submitted and whether it could be done.
+
+    `work_s` is the sum of its tasks' durations on a runner of speed 1.
+    """
 
     kind: JobClass
     verdict: scheduling.Verdict
@@ -145,6 +148,7 @@
     width: int
     at: float
     is_deadly: bool = False
+    work_s: float = 0.0
 
 
 class Simulation:
@@ -322,6 +326,7 @@
                         width,
                         begun,
                         job in self._deadly,
+                        sum(self._works[job]),
                     )
                 )
             elif isinstance(message, leasing.Start):
--- a/tests/test_scheduling_overload.py
+++ b/tests/test_scheduling_overload.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from skylarkcleat.protocol import scheduling
 from tests import scheduling_world as world_lib
 
 RUNNERS = 65
@@ -38,3 +39,48 @@
     rooms = world.owner.find_rooms(world_lib.UPSTREAM, 25.0)
     visited = rooms.visited / len(world.runs)
     assert visited <= MAX_VISITED_PER_TASK
+
+
+@pytest.fixture(scope="module")
+def overload():
+    """All queues at 2.5 times their rate for 5 s, 1.6 times the capacity."""
+    bursts = tuple(
+        world_lib.Burst(kind.name, 1.5, 5.0, 2.5)
+        for kind in world_lib.JOB_CLASSES
+    )
+    return _play(1.0, bursts, 8.0)
+
+
+def _find_shares(world, kind, factor):
+    """Returns the served share of a queue, and of its largest tenth."""
+    jobs = [
+        each
+        for each in world.outcomes
+        if each.kind.name == kind and 1.5 <= each.at < 6.5
+    ]
+    jobs.sort(key=lambda each: each.work_s)
+    served = [
+        each.verdict is scheduling.Verdict.COMPLETED
+        and each.took_s <= factor * each.objective_s
+        for each in jobs
+    ]
+    largest = served[-(len(served) // 10) :]
+    return sum(served) / len(served), sum(largest) / len(largest)
+
+
+@pytest.mark.parametrize(
+    ("kind", "in_time", "at_all"),
+    [("stock", 0.8, 0.8), ("quote", 0.6, 0.65), ("fit", 0.37, 0.65)],
+)
+def test_an_overload_is_shared_by_priority(overload, kind, in_time, at_all):
+    """Each queue was late by accident: 0.59, 0.60 and 0.28 were in time."""
+    assert _find_shares(overload, kind, 1)[0] >= in_time
+    served, largest = _find_shares(overload, kind, 3)
+    assert served >= at_all
+    assert largest >= served / 2
+
+
+@pytest.mark.parametrize("rate", [0.9, 1.1])
+def test_nothing_is_refused_or_late_while_capacity_suffices(rate):
+    world = _play(rate)
+    assert world.find_value_share() == 1.0, world_lib.describe(world)
