Log the forecast of a job beside what came of it

Cause: the line about a job's end did not say whether it had been accepted, how long it was to wait or when it was told to come back, so that neither a refusal nor a wait could be explained, and nothing measured how good forecasts are.

Ruled out: a line of its own for each decision, which would double the volume during an overload.

Run: test_scheduling_shares, test_metrics_decisions, test_timeline_captured and test_scheduling_owner pass. Cost not measured on its own.

--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -106,6 +106,11 @@
             "The same over the job's objective.",
             metrics_lib.RATIO_BUCKETS,
         )
+        self._forecast_error = registry.add_histogram(
+            "job_forecast_error_seconds",
+            "Between the forecast wait of a job that has started and its wait.",
+            metrics_lib.SECONDS_BUCKETS,
+        )
         self._gauges = {
             name: registry.add_gauge(name, doc) for name, doc in _GAUGES.items()
         }
@@ -141,6 +146,10 @@
                 "cause": self._reasons.admit(cause),
             }
         )
+        if "forecast_wait_ms" in message and "waited_ms" in message:
+            error_ms = abs(message["waited_ms"] - message["forecast_wait_ms"])
+            labels = {"queue": queue, "admission": message["admission"]}
+            self._forecast_error.observe(labels, error_ms / 1000)
         for record in message["runs"]:
             self._runs.inc({"event": self._reasons.admit(record.event)})
         if message["verdict"] == "completed":
--- a/src/skylarkcleat/scheduling/active_job.py
+++ b/src/skylarkcleat/scheduling/active_job.py
@@ -7,6 +7,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import unfit_shapes
 from skylarkcleat.wire import session as session_lib
 
@@ -127,6 +128,8 @@
         started: Whether any task was ever ordered to start or adopted.
         may_have_run: Whether an earlier owner may have started a task.
         blocked_since: Since when it has not fitted, in seconds, if so.
+        started_at: When this owner first ordered a start, in seconds, if so.
+        forecast: What was forecast when it first entered the backlog.
         history: The events of its runs, at most `MAX_HISTORY`.
     """
 
@@ -151,6 +154,8 @@
         self.started = False
         self.may_have_run = False
         self.blocked_since: float | None = None
+        self.started_at: float | None = None
+        self.forecast: job_forecast.JobForecast | None = None
         self.history: list[RunRecord] = []
         self._startable: list[Task] | None = None
         self._shape: unfit_shapes.Shape | None = None
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -15,6 +15,7 @@
 
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import capacity_shares
+from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import placement_pass
 from skylarkcleat.scheduling import queue_line as queue_line_lib
 
@@ -189,8 +190,12 @@
         core_s = job.find_waiting_core_s()
         if not job.started:
             line.record_arrival(core_s)
-        is_timely = job.latest_start > now
-        if not is_timely or not (job.started or line.accepts(job, now)):
+        is_accepted = job.latest_start > now and (
+            job.started or line.accepts(job, now)
+        )
+        if job.forecast is None:
+            job.forecast = _create_forecast(line, is_accepted)
+        if not is_accepted:
             self._defer(job, line, core_s)
             return
         self._number += 1
@@ -219,6 +224,15 @@
         return line
 
 
+def _create_forecast(
+    line: queue_line_lib.QueueLine, is_accepted: bool
+) -> job_forecast.JobForecast:
+    admission = job_forecast.Admission.DEFERRED
+    if is_accepted:
+        admission = job_forecast.Admission.ACCEPTED
+    return job_forecast.JobForecast(admission, line.find_wait_s(), line.rate)
+
+
 def _find_held_s(job: active_job.ActiveJob, now: float) -> float:
     """Returns how much other work keeps a late job, in s of all runners."""
     useful_s = job.useless_at - job.expected_s - now
--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -8,6 +8,7 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
+from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import job_table as job_table_lib
 from skylarkcleat.scheduling import owner_state
 
@@ -129,6 +130,9 @@
         for waiter in job.waiters:
             self._state.reply(waiter, verdict, detail, retry_after_ms)
         self._stop_runs(job)
+        waited_s = None
+        if job.started_at is not None:
+            waited_s = job.started_at - job.submitted_at
         eliot.log_message(
             active_job.JOB_ENDED,
             job=job.job.id,
@@ -138,7 +142,9 @@
             age_ms=round((now - job.submitted_at) * 1000),
             objective_ms=round(job.objective_s * 1000),
             may_have_run=job.may_have_run,
+            retry_after_ms=retry_after_ms,
             runs=job.history,
+            **job_forecast.describe(job.forecast, waited_s),
         )
 
     def _stop_runs(self, job: active_job.ActiveJob) -> None:
--- a/src/skylarkcleat/scheduling/starts.py
+++ b/src/skylarkcleat/scheduling/starts.py
@@ -173,6 +173,8 @@
         highest_run = self._state.jobs.recent.find_highest_run(task.name)
         task.place(max(task.run, highest_run) + 1, worker.side)
         job.started = True
+        if job.started_at is None:
+            job.started_at = now
         worker.add(
             placed_run.PlacedRun(task.name, task.run, step, now, expected_s)
         )
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -90,3 +90,15 @@
 
 def test_shows_how_many_lines_were_lost(metrics):
     assert "skylarkcleat_log_lines_lost 4" in _render(metrics, 4)
+
+
+def test_the_error_of_a_forecast_is_counted_only_if_both_are_known(metrics):
+    """A wait that is not known must not count as one of zero."""
+    metrics(_end_job() | {"admission": "deferred", "waited_ms": 200})
+    known = {"forecast_wait_ms": 50, "waited_ms": 200}
+    metrics(_end_job() | known | {"admission": "deferred"})
+    text = _render(metrics)
+    name = "skylarkcleat_job_forecast_error_seconds"
+    labels = 'admission="deferred",queue="q"'
+    assert f"{name}_count{{{labels}}} 1" in text
+    assert f"{name}_sum{{{labels}}} 0.15" in text
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -11,6 +11,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import backlog as backlog_lib
 from skylarkcleat.scheduling import capacity_shares
+from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import offer_result
 
 DEMANDS = st.lists(
@@ -89,3 +90,20 @@
         left = sum(job.find_waiting_core_s() for job in kept)
         assert left >= backlog_lib.HELD_BRIEFLY_S * cores
     assert not any(job.started or job.latest_start >= now for job in surplus)
+
+
+def test_the_line_about_a_job_tells_its_forecast_and_what_came_of_it():
+    """Guards against a wait that no line explains."""
+    backlog = backlog_lib.Backlog()
+    for number in range(400):
+        backlog.add(_create_job(number, 0, 8, number / 1000))
+        backlog.review(number / 1000, {"desk": 1.0})
+    last = _create_job(400, 0, 8, 0.4)
+    backlog.add(last)
+    backlog.review(0.4, {"desk": 1.0})
+    fields = job_forecast.describe(last.forecast, 0.25)
+    assert fields["admission"] == "deferred"
+    assert fields["queue_rate"] == pytest.approx(1.0)
+    assert fields["forecast_wait_ms"] > 0
+    assert fields["waited_ms"] == 250
+    assert job_forecast.describe(None, None) == {}
