--- a/src/skylarkcleat/scheduling/job_endings.py
+++ b/src/skylarkcleat/scheduling/job_endings.py
@@ -8,12 +8,13 @@
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import crashes as crashes_lib
+from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import job_table as job_table_lib
 from skylarkcleat.scheduling import owner_state
 
-REFUSAL_INTERVAL_S = 0.05
-"""The interval at which jobs that can't start in time are searched for and
-refused."""
+REFUSAL_INTERVAL_S = 0.02
+"""The interval at which the capacity is divided among the queues, and jobs that
+can't start in time are refused: under a tenth of the shortest objectives."""
 
 
 class JobEndings:
@@ -94,8 +95,11 @@
         if self._state.workers.is_growing(now):
             # What the first runners have room for says little of what comes.
             cores = 0.0
+        capacities = self._state.workers.find_capacities(now)
+        self._state.jobs.backlog.review(now, capacities)
         begin_at = max(now, settling.settled_at)
         unservable, wait_s = self._state.jobs.list_unservable(begin_at, cores)
+        unservable += self._list_surplus(unservable, now)
         detail = active_job.NO_ROOM if workers else active_job.NO_RUNNER
         if not settling.is_settled(now):
             detail = active_job.OWNER_WAITS
@@ -103,7 +107,19 @@
             verdict = scheduling.Verdict.NOT_RUN
             if job.may_have_run:
                 verdict = scheduling.Verdict.UNCERTAIN
-            self._end(job, verdict, detail, now, round(wait_s * 1000))
+            retry_s = max(wait_s, self._state.jobs.backlog.find_retry_s(job))
+            self._end(job, verdict, detail, now, round(retry_s * 1000))
+
+    def _list_surplus(
+        self, known: list[active_job.ActiveJob], now: float
+    ) -> list[active_job.ActiveJob]:
+        """Returns more jobs to refuse, of which no runner ran anything."""
+        ids = {job.job.id for job in known}
+        return [
+            job
+            for job in self._state.jobs.backlog.list_surplus(now)
+            if job.job.id not in ids and job.unattended_since is None
+        ]
 
     def refuse(
         self, job: active_job.ActiveJob, detail: str, now: float
@@ -126,6 +142,9 @@
         for waiter in job.waiters:
             self._state.reply(waiter, verdict, detail, retry_after_ms)
         self._stop_runs(job)
+        waited_s = None
+        if job.started_at is not None:
+            waited_s = job.started_at - job.submitted_at
         eliot.log_message(
             active_job.JOB_ENDED,
             job=job.job.id,
@@ -135,7 +154,9 @@
             age_ms=round((now - job.submitted_at) * 1000),
             objective_ms=round(job.objective_s * 1000),
             may_have_run=job.may_have_run,
+            retry_after_ms=retry_after_ms,
             runs=job.history,
+            **job_forecast.describe(job.forecast, waited_s),
         )
 
     def _stop_runs(self, job: active_job.ActiveJob) -> None:
--- a/tests/test_metrics_decisions.py
+++ b/tests/test_metrics_decisions.py
@@ -100,3 +100,15 @@
         late_s = 0.2 if tick == 15 else 0.001
         meter.record(late_s, tick * 0.1)
     assert [line["late_ms"] for line in log_lines] == [200, 0]
+
+
+def test_the_error_of_a_forecast_is_counted_only_if_both_are_known(metrics):
+    """A wait that is not known must not count as one of zero."""
+    metrics(_end_job() | {"admission": "deferred", "waited_ms": 200})
+    known = {"forecast_wait_ms": 50, "waited_ms": 200}
+    metrics(_end_job() | known | {"admission": "deferred"})
+    text = _render(metrics)
+    name = "skylarkcleat_job_forecast_error_seconds"
+    labels = 'admission="deferred",queue="q"'
+    assert f"{name}_count{{{labels}}} 1" in text
+    assert f"{name}_sum{{{labels}}} 0.15" in text
