--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -54,6 +54,11 @@
                 stderr=log,
             )
 
+    @property
+    def id(self) -> int:
+        """The id of the process."""
+        return self._process.pid
+
     @property
     def has_ended(self) -> bool:
         """Whether the process has ended by itself."""
@@ -89,10 +94,19 @@
 
 
 class Fleet:
-    """Three fronts with a disk, one without, and two sides with runners."""
+    """Three fronts with a disk, one without, and two sides with runners.
+
+    Args:
+        folder: Where settings, logs and disks are.
+        ip_block: The second byte of the loopback addresses.
+        limits: Text that ends each process's settings.
+    """
 
-    def __init__(self, folder: pathlib.Path, ip_block: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, ip_block: int, limits: str = ""
+    ) -> None:
         self.folder = folder
+        self._limits = limits
         self.fronts: list[Process] = []
         self.sides: list[Process] = []
         self.runners: list[fake_runner.FakeRunner] = []
@@ -196,7 +210,7 @@
             f'[listen]\nfront = "{ip}:{port + 2}"\n'
             f'control = "{ip}:{port + 3}"\nready = "{ip}:{port + 4}"\n'
         )
-        return Process("front", ip, self.folder, text)
+        return Process("front", ip, self.folder, text + self._limits)
 
     def _create_side(self, number: int) -> Process:
         ip = self._ip(number + 11)
@@ -206,7 +220,7 @@
             f'app = "{ip}:{port + 5}"\nservice = "{fake_runner.SERVICE}"\n'
             f'[listen]\ncontrol = "{ip}:{port + 3}"\n'
         )
-        return Process("side", ip, self.folder, text)
+        return Process("side", ip, self.folder, text + self._limits)
 
 
 class Client:
@@ -320,11 +334,14 @@
 
 @contextlib.asynccontextmanager
 async def open_fleet(
-    folder: pathlib.Path, ip_block: int, is_awaited: bool = True
+    folder: pathlib.Path,
+    ip_block: int,
+    is_awaited: bool = True,
+    limits: str = "",
 ):
     """Starts a fleet, and waits until its fronts are ready."""
     async with contextlib.AsyncExitStack() as stack:
-        fleet = Fleet(folder, ip_block)
+        fleet = Fleet(folder, ip_block, limits)
         await fleet.open(stack)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         client = Client(fleet, session)
