Bound what HTTP clients make a front or side process hold

Cause: aiohttp bounds one field and one body, not their sum nor their time. After a parser error it goes on parsing and keeps an error, with the bytes in its text, for each read; errors and tasks of a closed connection are cycles that hold its body; one client may send 8 MB in one turn of the event loop, and `read` raises the buffer's bound to twice the largest body.

Ruled out: limits of aiohttp alone (see above); a parser of our own before it, which would parse twice; pausing in place of closing, since a paused client keeps its bytes here.

Change: a package `http_limits`. One guard in each process counts connections and the bytes that they hold, before the parser keeps them; budgets come from `[limits] memory-mb` and `max-fds`. Over a budget the connections that have held most for the longest time without progress are closed, never one whose complete request waits for its answer. There are timeouts for heads, bodies, idle connections and responses that are not read, and a rate of lines in chunked bodies. All servers of both roles use it. Handlers no longer keep a job's body while the job is open. At most 8 configurations are read back at once, and 16 wait for the log: each has a copy of up to 1 MB.

The front's body limits are 512 KiB for jobs (1 MiB before, clients may send 256 KiB) and 4 MiB for operators (1 MiB before); a field may have 16,384 bytes (8,190 before).

--- /dev/null
+++ b/src/skylarkcleat/http_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds what the HTTP clients of a process make it hold."""
--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -8,6 +8,7 @@
 
 import typing as t
 
+from skylarkcleat.http_limits import closed_log
 from skylarkcleat.metrics import label
 from skylarkcleat.metrics import metrics as metrics_lib
 from skylarkcleat.metrics import registry as registry_lib
@@ -23,6 +24,8 @@
     "owner_open_sides": "Side processes that the owner here may send tasks to.",
     "owner_closed_sides": "Side processes that it may not send tasks to.",
     "configuration_version": "Version of the configuration.",
+    "http_held_bytes": "What HTTP clients make the process hold, in bytes.",
+    "http_connections": "Open connections of HTTP clients.",
     "log_has_leader": "1 while this replica of the log knows a leader.",
     "log_voters": "Voters of the log; 0 on a replica that does not lead.",
     "log_silent_voters": "Voters that do not answer the leader here.",
@@ -63,6 +66,10 @@
     "front:configuration": {
         "configuration_version": lambda message: message["version"]
     },
+    closed_log.HELD: {
+        "http_held_bytes": lambda message: message["held_bytes"],
+        "http_connections": lambda message: message["connections"],
+    },
     "consensus:leader": _FOLLOWS,
     "consensus:margin": {
         "log_voters": lambda message: message["voters"],
@@ -96,6 +103,10 @@
         self._runs = registry.add_counter(
             "runs_total", "What became of tasks' runs, by event."
         )
+        self._closed = registry.add_counter(
+            "http_connections_closed_total",
+            "Connections of HTTP clients closed over a limit, by reason.",
+        )
         self._took = registry.add_histogram(
             "job_seconds",
             "From submission to the end of completed jobs.",
@@ -116,6 +127,9 @@
         self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
         if kind == active_job.JOB_ENDED:
             self._count_job(message)
+        elif kind == closed_log.CLOSED:
+            labels = {"reason": message["reason"]}
+            self._closed.add(labels, message["count"])
         for gauge, read in _READINGS.get(kind, {}).items():
             self._gauges[gauge].set({}, read(message))
 
--- a/src/skylarkcleat/platform/daemon.py
+++ b/src/skylarkcleat/platform/daemon.py
@@ -12,6 +12,8 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import logs
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.platform import listening
 from skylarkcleat.platform import metrics_server
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import leasing
@@ -30,9 +32,10 @@
 )
 
 Serve = t.Callable[
-    [settings_lib.Settings, asyncio.Event], t.Coroutine[t.Any, t.Any, None]
+    [settings_lib.Settings, guard_lib.Guard, asyncio.Event],
+    t.Coroutine[t.Any, t.Any, None],
 ]
-"""Serves one role until the event is set."""
+"""Serves one role, within the limits of a guard, until the event is set."""
 
 
 def run(serve: Serve) -> None:
@@ -49,9 +52,12 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
-        async with metrics_server.serve_metrics(settings, log):
+        async with (
+            listening.create_guard(settings) as guard,
+            metrics_server.serve_metrics(settings, guard, log),
+        ):
             eliot.log_message("process:started", zone=settings.zone)
-            await serve(settings, stopping)
+            await serve(settings, guard, stopping)
             eliot.log_message("process:stopped")
 
     log = logs.create_log("info", logs.STDOUT, settings.node)
--- a/src/skylarkcleat/platform/front_daemon.py
+++ b/src/skylarkcleat/platform/front_daemon.py
@@ -15,6 +15,8 @@
 from skylarkcleat.consensus import settings as log_settings
 from skylarkcleat.discovery import bootstrap_record
 from skylarkcleat.front import process as front_process
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.http_limits import limits as http_limits
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import ingress as ingress_lib
 from skylarkcleat.platform import listening
@@ -27,7 +29,9 @@
 
 
 async def serve(
-    settings: settings_lib.Settings, stopping: asyncio.Event
+    settings: settings_lib.Settings,
+    guard: guard_lib.Guard,
+    stopping: asyncio.Event,
 ) -> None:
     """Serves callers and operators until a stop is requested."""
     async with contextlib.AsyncExitStack() as stack:
@@ -42,12 +46,16 @@
         )
         ingress = ingress_lib.Ingress(process)
         listen = settings.listen
-        for address, handler in (
-            (listen.front, ingress.handle_job),
-            (listen.control, ingress.handle_control),
-            (listen.ready, ingress.handle_ready),
+        for address, body_bytes, handler in (
+            (listen.front, http_limits.JOB_BODY_BYTES, ingress.handle_job),
+            (
+                listen.control,
+                http_limits.CONTROL_BODY_BYTES,
+                ingress.handle_control,
+            ),
+            (listen.ready, http_limits.PROBE_BODY_BYTES, ingress.handle_ready),
         ):
-            runner = listening.create_server_runner(handler)
+            runner = listening.create_server_runner(guard, body_bytes, handler)
             await listening.listen(stack, address, runner)
         watch = seed_watch.create_seed_watch(process)
         tasks = [
--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 
@@ -15,6 +16,14 @@
 
 DEFAULT_CALLER_TIMEOUT_MS = 10_000
 MAX_DIGITS = 9
+MAX_READS = 8
+"""How many configurations are read back at once: each read has a copy, of 1 MB
+at most. Operators send as many orders at once."""
+
+MAX_WRITES = 16
+"""How many configurations wait for the log at once, which holds their bytes.
+One more is refused, and not run."""
+
 _JOB_PATH = re.compile(r"(.*?)([0-9a-fA-F]{16})", re.DOTALL)
 _JOB_STATES = (
     scheduling.Verdict.COMPLETED,
@@ -38,6 +47,8 @@
 
     def __init__(self, front: service_lib.FrontService) -> None:
         self._front = front
+        self._reads = asyncio.Semaphore(MAX_READS)
+        self._writes = 0
 
     async def handle_job(self, request: web.BaseRequest) -> web.Response:
         """Answers a caller's request about jobs."""
@@ -75,9 +86,8 @@
     async def _submit(
         self, request: web.BaseRequest, host: str, path: str, job_id: str
     ) -> web.Response:
-        body = await request.read()
         try:
-            job = job_body.decode_job(job_id.lower(), body)
+            job = job_body.decode_job(job_id.lower(), await request.read())
         except job_body.JobError as error:
             return self._respond(400, {"error": str(error)})
         caller_timeout_ms = _read_caller_timeout(request)
@@ -90,10 +100,18 @@
             decoded = configuration_body.decode_configuration(body)
         except configuration_body.ConfigurationError as error:
             return self._respond(400, {"error": str(error)})
-        return self._translate(await self._front.put_configuration(decoded))
+        if self._writes >= MAX_WRITES:
+            return self._respond(503, {"error": "too many configurations"})
+        self._writes += 1
+        try:
+            reply = await self._front.put_configuration(decoded)
+        finally:
+            self._writes -= 1
+        return self._translate(reply)
 
     async def _get(self) -> web.Response:
-        found = await self._front.read_configuration()
+        async with self._reads:
+            found = await self._front.read_configuration()
         if found is None or not found.version:
             return self._respond(503, {})
         return web.Response(body=found.original, content_type=names.JSON)
--- a/src/skylarkcleat/platform/listening.py
+++ b/src/skylarkcleat/platform/listening.py
@@ -1,4 +1,4 @@
-"""Opens the HTTP servers of a process."""
+"""Opens the HTTP servers of a process, within the limits of one guard."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.http_limits import server as server_lib
 from skylarkcleat.platform import settings as settings_lib
 
 _SHUTDOWN_TIMEOUT_S = 0.1
@@ -22,16 +24,43 @@
     await web.TCPSite(runner, host, port).start()
 
 
-def create_server_runner(handler: t.Any) -> web.BaseRunner:
-    """Creates a runner for a handler; a disconnect cancels the handler."""
-    server = web.Server(handler, access_log=None, handler_cancellation=True)
+def create_guard(settings: settings_lib.Settings) -> guard_lib.Guard:
+    """Returns the guard of a process's HTTP servers."""
+    limits = settings.limits
+    return guard_lib.create_guard(limits.memory_mb, limits.max_fds)
+
+
+def create_server_runner(
+    guard: guard_lib.Guard, body_bytes: int, handler: t.Any
+) -> web.BaseRunner:
+    """Creates a runner for a handler; a disconnect cancels the handler.
+
+    Args:
+        guard: Counts what the clients of the process make it hold.
+        body_bytes: The largest body.
+        handler: Answers the requests.
+    """
     return web.ServerRunner(
-        server, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        server_lib.create_server(guard, body_bytes, handler),
+        access_log=None,
+        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
     )
 
 
-def create_app_runner(app: web.Application) -> web.BaseRunner:
-    """Creates a runner for an application."""
-    return web.AppRunner(
-        app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+def create_app_runner(
+    guard: guard_lib.Guard, body_bytes: int, app: web.Application
+) -> web.BaseRunner:
+    """Creates a runner for an application.
+
+    Args:
+        guard: Counts what the clients of the process make it hold.
+        body_bytes: The largest body that the application accepts.
+        app: Answers the requests.
+    """
+    return server_lib.GuardedAppRunner(
+        guard,
+        body_bytes,
+        app,
+        access_log=None,
+        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
     )
--- a/src/skylarkcleat/platform/runner_reports.py
+++ b/src/skylarkcleat/platform/runner_reports.py
@@ -7,6 +7,7 @@
 import eliot
 from aiohttp import web
 
+from skylarkcleat.http_limits import limits
 from skylarkcleat.platform import names
 from skylarkcleat.platform import runner_body
 
@@ -43,7 +44,7 @@
         listener.handle_deregistration(request.match_info["id"])
         return web.json_response({})
 
-    app = web.Application(client_max_size=4 * 1024 * 1024)
+    app = web.Application(client_max_size=limits.HEARTBEAT_BODY_BYTES)
     app.router.add_post(names.HEARTBEAT_PATH, handle_heartbeat)
     app.router.add_post(names.DEREGISTER_PATH, handle_deregistration)
     return app
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -32,11 +32,15 @@
         cpu_share: The fraction of a core that the process gets.
         cores: The speed of the VM in units of one core.
         link_mbps: The bandwidth of its link.
+        memory_mb: Its memory, in MB; 0 if unknown.
+        max_fds: The descriptors that the process may open; 0 if unknown.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 0
+    max_fds: int = 0
 
 
 class Bounds(msgspec.Struct):
--- a/src/skylarkcleat/platform/side_daemon.py
+++ b/src/skylarkcleat/platform/side_daemon.py
@@ -7,6 +7,8 @@
 import random
 
 from skylarkcleat import supervision
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.http_limits import limits as http_limits
 from skylarkcleat.platform import daemon
 from skylarkcleat.platform import listening
 from skylarkcleat.platform import runner_client
@@ -17,7 +19,9 @@
 
 
 async def serve(
-    settings: settings_lib.Settings, stopping: asyncio.Event
+    settings: settings_lib.Settings,
+    guard: guard_lib.Guard,
+    stopping: asyncio.Event,
 ) -> None:
     """Serves a runner until a stop is requested."""
     async with contextlib.AsyncExitStack() as stack:
@@ -29,7 +33,9 @@
             settings, hub, client, random.Random()
         )
         app = runner_reports.create_reports_app(process)
-        runner = listening.create_app_runner(app)
+        runner = listening.create_app_runner(
+            guard, http_limits.HEARTBEAT_BODY_BYTES, app
+        )
         await listening.listen(stack, settings.listen.control, runner)
         watch = seed_watch.create_seed_watch(process)
         tasks = [
--- /dev/null
+++ b/tests/test_http_limits_reader.py
@@ -0,0 +1,135 @@
+"""What a guarded connection makes of any bytes, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+import hypothesis
+from aiohttp import web
+from hypothesis import strategies as st
+
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.http_limits import limits as limits_lib
+from skylarkcleat.http_limits import server as server_lib
+
+BODY_BYTES = 2000
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
+PARTS = st.sampled_from(
+    [
+        HEAD,
+        b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Content-Length: 1999\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+        b"5\r\nhello\r\n",
+        b"0\r\n\r\n",
+        b"0\r\nX-Trailer: 1\r\n",
+        b"ffffffffffffffffff\r\n",
+        b"\r\n",
+        b"x" * 20_000,
+        b"y: " + b"z" * 9000 + b"\r\n",
+        b" " * 3000,
+    ]
+)
+STREAMS = st.lists(st.one_of(PARTS, st.binary(max_size=40)), max_size=12)
+
+
+class FakeTransport(asyncio.Transport):
+    """A transport that keeps what is written."""
+
+    def __init__(self, protocol):
+        super().__init__({"peername": ("10.0.0.1", 1)})
+        self.protocol = protocol
+        self.written = b""
+        self.is_closed = False
+
+    def write(self, data):
+        self.written += bytes(data)
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.is_closed
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def close(self):
+        if not self.is_closed:
+            self.is_closed = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.protocol.connection_lost, None)
+
+    def abort(self):
+        self.close()
+
+
+async def feed(stream, size, is_guarded):
+    """Returns what is answered, and what is held before and after the end."""
+
+    async def answer(request):
+        return web.Response(text=str(len(await request.read())))
+
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    guard = guard_lib.create_guard()
+    server = server_lib.create_server(guard, BODY_BYTES, answer)
+    if not is_guarded:
+        server = web.Server(answer, access_log=None)
+    protocol = server()
+    transport = FakeTransport(protocol)
+    protocol.connection_made(transport)
+    for begin in range(0, len(stream), size):
+        if transport.is_closed:
+            break
+        protocol.data_received(stream[begin : begin + size])
+        held = guard.budget.held_bytes
+        assert 0 <= held <= 2 * limits_lib.HEAD_BYTES + 7 * BODY_BYTES + size
+        for _ in range(3):
+            await asyncio.sleep(0)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    statuses = re.findall(rb"HTTP/1.1 (\d+)", transport.written)
+    transport.close()
+    await asyncio.sleep(0.001)
+    assert (guard.budget.held_bytes, guard.budget.connections) == (0, 0)
+    assert not errors
+    return statuses
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(STREAMS, st.sampled_from([1_000_000, 16_384, 1000, 7]))
+def test_any_bytes_stay_within_the_limits(parts, size):
+    # Guards against errors of the reader and bytes that stay counted.
+    asyncio.run(feed(b"".join(parts), size, is_guarded=True))
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    st.lists(
+        st.sampled_from(
+            [
+                b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                HEAD + b"Content-Length: 5\r\n\r\nhello",
+                HEAD
+                + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                HEAD + b"Content-Length: 0\r\n\r\n",
+            ]
+        ),
+        max_size=6,
+    ),
+    st.sampled_from([1000, 30, 7, 1]),
+)
+def test_requests_within_the_limits_are_answered_as_before(requests, size):
+    # Guards against a guard that changes answers.
+    stream = b"".join(requests)
+    guarded = asyncio.run(feed(stream, size, is_guarded=True))
+    assert guarded == asyncio.run(feed(stream, size, is_guarded=False))
+    assert guarded == [b"200"] * len(requests)
