--- a/src/skylarkcleat/http_limits/protocol.py
+++ b/src/skylarkcleat/http_limits/protocol.py
@@ -21,6 +21,10 @@
 """How much is parsed between two checks. The part of a slice that follows a
 complete request is not counted."""
 
+UNCOUNTED_BYTES = 4096
+"""A read that ends with a complete request is not counted up to this size: its
+handler takes it over in the next turn of the event loop."""
+
 _Phase = phase_lib.Phase
 _Reason = reason_lib.Reason
 
@@ -108,7 +112,7 @@
     def release_body(self) -> None:
         """Records that the handler has taken over the body of its request."""
         holding = self._holding
-        if holding.phase is _Phase.OPEN:
+        if holding.held_bytes and holding.phase is _Phase.OPEN:
             size = holding.held_bytes - holding.unsent_bytes
             self._guard.release(holding, size)
 
@@ -194,6 +198,8 @@
             self._complete(now)
         if self._body is not None:
             holding.begin(_Phase.BODY, now)
+        elif size <= UNCOUNTED_BYTES:
+            return
         self._guard.hold(holding, size, now)
 
     def _follow_last(self, message: t.Any, body: streams.StreamReader) -> int:
@@ -224,7 +230,7 @@
         """Records that a request was answered."""
         now = self._loop.time()
         holding = self._holding
-        if request.content is self._body:
+        if self._body is not None and request.content is self._body:
             holding.begin(_Phase.DISCARDING, now)
             self._part_bytes = 0
         else:
@@ -237,6 +243,8 @@
             holding.begin(_Phase.IDLE, now)
         elif holding.phase is _Phase.HEAD:
             holding.begin(_Phase.HEAD, now)
+        if not holding.held_bytes:
+            return
         kept = self._part_bytes + holding.unsent_bytes
         self._guard.release(holding, max(holding.held_bytes - kept, 0))
 
