Bound what HTTP clients make an entry hold

Cause: an entry had only aiohttp's limits, and its own of one body, 8 MiB by default.

Ruled out: budgets from the VM's memory; an entry's settings don't tell it.

Change: `web.Server` takes a guard, and the entry passes one. Its gauges are served with the entry's others. Control replicas, agents and stand-ins are as before.

--- a/src/skylarkcleat/entry/service.py
+++ b/src/skylarkcleat/entry/service.py
@@ -13,6 +13,7 @@
 from skylarkcleat.directory import directory as directory_lib
 from skylarkcleat.dispatch import dispatcher as dispatcher_lib
 from skylarkcleat.entry import admission as admission_lib
+from skylarkcleat.entry import client_limits
 from skylarkcleat.entry import event_requests as event_requests_lib
 from skylarkcleat.entry import gauges as gauges_lib
 from skylarkcleat.entry import http_api as http_api_lib
@@ -83,12 +84,16 @@
         )
         await daemon.run_in(stack, self._process.run())
         await daemon.run_in(stack, mailbox_lib.send_ticks(node.mailbox))
+        guard = await stack.enter_async_context(
+            client_limits.create_guard(settings)
+        )
         gauges = gauges_lib.EntryGauges(
             metrics,
             self._process,
             subscription,
             node.account,
             node.network,
+            guard.budget,
         )
         http_api = http_api_lib.HttpApi(
             ref.name,
@@ -100,7 +105,11 @@
         )
         await stack.enter_async_context(
             web_lib.Server(
-                http_api.create_app(), settings.http.host, settings.http.port
+                http_api.create_app(),
+                settings.http.host,
+                settings.http.port,
+                guard,
+                settings.http.max_body_bytes,
             )
         )
 
--- a/src/skylarkcleat/http_limits/budget.py
+++ b/src/skylarkcleat/http_limits/budget.py
@@ -36,11 +36,13 @@
     Attributes:
         limits: What they may hold.
         held_bytes: What they hold.
+        closed: How many were closed over a limit.
     """
 
     def __init__(self, limits: limits_lib.Limits) -> None:
         self.limits = limits
         self.held_bytes = 0
+        self.closed = 0
         self._holdings: dict[holding_lib.Holding, None] = {}
         self._sources: dict[str, source_lib.Source] = {}
 
--- a/src/skylarkcleat/http_limits/guard.py
+++ b/src/skylarkcleat/http_limits/guard.py
@@ -108,6 +108,7 @@
         connection = self._connections.get(holding)
         if connection is None:
             return
+        self.budget.closed += 1
         self._count_garbage(holding.held_bytes)
         self.forget(holding)
         self._log.add(reason, holding.source.address)
--- a/src/skylarkcleat/metrics/gauge.py
+++ b/src/skylarkcleat/metrics/gauge.py
@@ -33,6 +33,17 @@
     """Every gauge."""
 
     JOBS = GaugeSpec("jobs", "Jobs in flight.", _ENTRY)
+    HTTP_HELD_BYTES = GaugeSpec(
+        "http_held_bytes", "What HTTP clients make it hold, in bytes.", _ENTRY
+    )
+    HTTP_CONNECTIONS = GaugeSpec(
+        "http_connections", "Open connections of HTTP clients.", _ENTRY
+    )
+    HTTP_CLOSED = GaugeSpec(
+        "http_connections_closed",
+        "Connections of HTTP clients closed over a limit since the start.",
+        _ENTRY,
+    )
     QUEUED_TASKS = GaugeSpec(
         "queued_tasks", "Tasks that wait for a slot.", _AGENT
     )
--- a/src/skylarkcleat/web.py
+++ b/src/skylarkcleat/web.py
@@ -6,6 +6,9 @@
 
 from aiohttp import web
 
+from skylarkcleat.http_limits import guard as guard_lib
+from skylarkcleat.http_limits import server as server_lib
+
 # Roles drain before they close; what is left by then has nobody to answer it.
 SHUTDOWN_TIMEOUT_S = 2.0
 
@@ -16,20 +19,35 @@
     A request whose client hangs up has its handler cancelled.
     """
 
-    def __init__(self, app: web.Application, host: str, port: int) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        host: str,
+        port: int,
+        guard: guard_lib.Guard | None = None,
+        body_bytes: int = 0,
+    ) -> None:
         """Initializes a server; entering it opens the socket.
 
         Args:
             app: What answers.
             host: The IP number to listen on.
             port: The TCP port; 0 takes any free one.
+            guard: Counts what clients make the process hold; None leaves them
+                to aiohttp's own limits.
+            body_bytes: The largest body that the application accepts.
         """
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
+        options = {
+            "access_log": None,
+            "handler_cancellation": True,
+            "shutdown_timeout": SHUTDOWN_TIMEOUT_S,
+        }
+        if guard is None:
+            self._runner = web.AppRunner(app, **options)
+        else:
+            self._runner = server_lib.GuardedAppRunner(
+                guard, body_bytes, app, **options
+            )
         self._host = host
         self._port = port
 
