--- a/src/skylarkcleat/metrics/decisions.py
+++ b/src/skylarkcleat/metrics/decisions.py
@@ -10,6 +10,7 @@
 
 from skylarkcleat import loop_lag
 from skylarkcleat.discovery import owner_load
+from skylarkcleat.http_limits import closed_log
 from skylarkcleat.metrics import label
 from skylarkcleat.metrics import metrics as metrics_lib
 from skylarkcleat.metrics import registry as registry_lib
@@ -31,6 +32,8 @@
     "owner_link_share": "Share of its link that the owner here uses.",
     "owner_congested_share": "Share of its time that its intake is congested.",
     "loop_lag_seconds": "How late the event loop ran in the last second.",
+    "http_held_bytes": "What HTTP clients make the process hold, in bytes.",
+    "http_connections": "Open connections of HTTP clients.",
     "log_has_leader": "1 while this replica of the log knows a leader.",
     "log_voters": "Voters of the log; 0 on a replica that does not lead.",
     "log_silent_voters": "Voters that do not answer the leader here.",
@@ -84,6 +87,10 @@
     "front:configuration": {
         "configuration_version": lambda message: message["version"]
     },
+    closed_log.HELD: {
+        "http_held_bytes": lambda message: message["held_bytes"],
+        "http_connections": lambda message: message["connections"],
+    },
     "consensus:leader": _FOLLOWS,
     "consensus:margin": {
         "log_voters": lambda message: message["voters"],
@@ -117,6 +124,10 @@
         self._runs = registry.add_counter(
             "runs_total", "What became of tasks' runs, by event."
         )
+        self._closed = registry.add_counter(
+            "http_connections_closed_total",
+            "Connections of HTTP clients closed over a limit, by reason.",
+        )
         self._took = registry.add_histogram(
             "job_seconds",
             "From submission to the end of completed jobs.",
@@ -143,6 +154,9 @@
         self._lines.inc({"type": self._types.admit(kind.replace(":", "."))})
         if kind == active_job.JOB_ENDED:
             self._count_job(message)
+        elif kind == closed_log.CLOSED:
+            labels = {"reason": message["reason"]}
+            self._closed.add(labels, message["count"])
         self._zones.record(message)
         for gauge, read in _READINGS.get(kind, {}).items():
             self._gauges[gauge].set({}, read(message))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -56,6 +56,11 @@
                 stderr=log,
             )
 
+    @property
+    def id(self) -> int:
+        """The id of the process."""
+        return self._process.pid
+
     @property
     def has_ended(self) -> bool:
         """Whether the process has ended by itself."""
@@ -94,6 +99,12 @@
     """Three fronts with a disk, one without, and two sides with runners.
 
     The settings name zones only if `side_zones` lists those of the sides.
+
+    Args:
+        folder: Where settings, logs and disks are.
+        ip_block: The second byte of the loopback addresses.
+        side_zones: The zones of the side processes.
+        limits: Text that ends each process's settings.
     """
 
     def __init__(
@@ -101,9 +112,11 @@
         folder: pathlib.Path,
         ip_block: int,
         side_zones: t.Sequence[str] = (),
+        limits: str = "",
     ) -> None:
         self._side_zones = side_zones
         self.folder = folder
+        self._limits = limits
         self.fronts: list[Process] = []
         self.sides: list[Process] = []
         self.runners: list[fake_runner.FakeRunner] = []
@@ -219,7 +232,7 @@
         if self._side_zones:
             zones = [f'{zone} = "region"\n' for zone in {*self._side_zones}]
             text += "[zones]\n" + "".join(zones)
-        return Process("front", ip, self.folder, text)
+        return Process("front", ip, self.folder, text + self._limits)
 
     def _create_side(self, number: int) -> Process:
         ip = self._ip(number + 11)
@@ -231,7 +244,7 @@
             f'app = "{ip}:{port + 5}"\nservice = "{fake_runner.SERVICE}"\n'
             f'[listen]\ncontrol = "{ip}:{port + 3}"\n'
         )
-        return Process("side", ip, self.folder, text)
+        return Process("side", ip, self.folder, text + self._limits)
 
 
 class Client:
@@ -379,10 +392,11 @@
     ip_block: int,
     is_awaited: bool = True,
     side_zones: t.Sequence[str] = (),
+    limits: str = "",
 ):
     """Starts a fleet, and waits until its fronts are ready."""
     async with contextlib.AsyncExitStack() as stack:
-        fleet = Fleet(folder, ip_block, side_zones)
+        fleet = Fleet(folder, ip_block, side_zones, limits)
         await fleet.open(stack)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         client = Client(fleet, session)
