Keep a lower bound on the age of news of the log that counts

Cause: with an evacuate-ms below 1.75 s no news counted, so that an owner that does not lead the log would have started nothing once evacuations were used.

Change: news of the last second counts always. A bound below 2.75 s is then not kept by an owner that is cut off from the log; the note says so.

Conclusion: the bound of 5 s is not affected.

--- a/src/skylarkcleat/scheduling/zones_in_use.py
+++ b/src/skylarkcleat/scheduling/zones_in_use.py
@@ -21,6 +21,12 @@
 own lease of 0.3 s, the clocks' drift, and a tick."""
 
 
+MIN_NEWS_AGE_S = 1.0
+"""Younger news never counts as too old: views of the log's leader come each
+0.2 s, and an owner would stop between them. Bounds under 2.75 s aren't kept by
+an owner that is cut off from the log."""
+
+
 class ZonesInUse(t.NamedTuple):
     """An owner's view of the zones.
 
@@ -55,7 +61,7 @@
         evacuate_s: How long after its acknowledgement an evacuation has to be
             in force, in seconds.
     """
-    return max(evacuate_s - PROPAGATION_S, 0.0)
+    return max(evacuate_s - PROPAGATION_S, MIN_NEWS_AGE_S)
 
 
 def is_certain(
