Hold at most half of the runners after failures, and try them with one task

Cause: each runner that failed two tasks in a row got none for up to 8 s. After a second in which all tasks failed the whole fleet was held. A runner whose hold was over got as many tasks as it had room for.

Ruled out: a quarter as the bound.

Change: held_runners chooses who is held; those with most failures where there are too many. After a hold one task is tried, and others follow when it is done.

While all fail, more runs fail, since half of the runners go on trying.

--- a/src/skylarkcleat/scheduling/placement.py
+++ b/src/skylarkcleat/scheduling/placement.py
@@ -18,13 +18,6 @@
 REMOTE_FACTOR = 1.5
 """The factor on a task's duration if its data are in another rack."""
 
-FAILURE_HOLD_S = 1.0
-"""How much longer a runner gets no tasks with each consecutive failure after
-the first."""
-
-MAX_FAILURE_HOLD_S = 8.0
-"""The longest time for which a runner gets no tasks after failures."""
-
 
 def has_room(
     job: active_job.ActiveJob,
@@ -94,7 +87,7 @@
             break
         if not _can_start(worker, step, now):
             continue
-        if not _is_allowed(worker, job, task, now):
+        if not _is_allowed(worker, job, task, rooms, now):
             continue
         if is_suspect and worker.count_recent_starts(now):
             continue
@@ -162,17 +155,14 @@
     worker: worker_lib.Worker,
     job: active_job.ActiveJob,
     task: active_job.Task,
+    rooms: room_index.RoomIndex,
     now: float,
 ) -> bool:
     step = job.job.steps[task.step]
     if worker.side in task.failed_sides and len(task.failed_sides) < 3:
         return False
-    if worker.speed.failures > 1:
-        hold = min(
-            MAX_FAILURE_HOLD_S, FAILURE_HOLD_S * (worker.speed.failures - 1)
-        )
-        if now < worker.speed.failed_at + hold:
-            return False
+    if rooms.held.holds(worker, rooms.list_all, now):
+        return False
     if not step.max_per_runner:
         return True
     prefix = f"{job.job.id}.0.{task.step}."
--- a/src/skylarkcleat/scheduling/room_index.py
+++ b/src/skylarkcleat/scheduling/room_index.py
@@ -11,6 +11,7 @@
 import typing as t
 
 from skylarkcleat.scheduling import free_cores
+from skylarkcleat.scheduling import held_runners
 from skylarkcleat.scheduling import worker as worker_lib
 
 BLOCK_SIZE = 16
@@ -47,6 +48,7 @@
     """Workers sorted by duration factor, in blocks that know their most room.
 
     Attributes:
+        held: Which of its workers get no tasks after failures.
         growths: How often the free cores of a worker have grown, or a worker
             was added.
         visited: How many entries and blocks were looked at, for tests.
@@ -59,6 +61,7 @@
         self._known: dict[str, _Entry] = {}
         self._free_cpu: dict[str, int] = {}
         self._free_cores = free_cores.FreeCores()
+        self.held = held_runners.HeldRunners()
 
     def __len__(self) -> int:
         """Returns how many workers there are."""
