--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -13,10 +13,10 @@
 
 from skylarkcleat import clock as clock_lib
 from skylarkcleat.discovery import election as election_lib
-from skylarkcleat.discovery import owner_load as owner_load_lib
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
+from skylarkcleat.front import load_log as load_log_lib
 from skylarkcleat.front import owner_heartbeats
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import pause as pause_lib
@@ -30,8 +30,6 @@
 SUCCESSOR_CHECK_INTERVAL_S = 1.0
 """How often the owner checks at most for a front that is better suited."""
 
-LOAD_LOG_INTERVAL_S = 1.0
-
 RESTART_WINDOW_S = 2.0
 """If a front becomes the owner within this time after its start, and no owner
 before it is known, all processes have restarted, and the leases of all earlier
@@ -48,8 +46,7 @@
         configuration_cache: The copy of the configuration here.
         ownership: The owner, while it is here.
         pauses: Is ticked here.
-        load: Tells whether the owner here is overloaded.
-        count_sent: Returns the bytes that this front has sent so far.
+        load: Measures and logs the load of the owner here.
         send: Sends a message to a process by name.
     """
 
@@ -61,8 +58,7 @@
         configuration_cache: configuration_cache_lib.ConfigurationCache,
         ownership: ownership_lib.Ownership,
         pauses: pause_lib.PauseWatch,
-        load: owner_load_lib.OwnerLoad,
-        count_sent: t.Callable[[], int],
+        load: load_log_lib.LoadLog,
         send: t.Callable[[str, t.Any], None],
     ) -> None:
         self._local = local
@@ -72,9 +68,7 @@
         self._ownership = ownership
         self._pauses = pauses
         self._load = load
-        self._count_sent = count_sent
         self._plain_rank = election.rank
-        self._load_logged_at = float("-inf")
         self._send = send
         self._started_at = clock_lib.read_monotonic()
         self._heartbeats = owner_heartbeats.OwnerHeartbeats(
@@ -265,7 +259,7 @@
     def _announce_ownership(self, sides: t.Iterable[str], now: float) -> None:
         """Notifies fronts and side processes at once of the new owner."""
         eliot.log_message("front:claimed", term=self._election.followed.term)
-        self._load.begin(now, self._count_sent())
+        self._load.begin(now)
         self._record_followed(self._election.followed.term, now)
         self._heartbeats.begin(now)
         found = locating.OwnerFound(self._election.followed)
@@ -275,25 +269,7 @@
     def _run_ownership(self, now: float) -> None:
         self._heartbeats.run(now)
         self._ownership.tick()
-        is_congested = self._ownership.is_congested(now)
-        use = owner_load_lib.Use(self._count_sent(), is_congested)
-        if self._load.record(use, now):
-            self._log_load(owner_load_lib.LAGGING, now)
-        elif now - self._load_logged_at >= LOAD_LOG_INTERVAL_S:
-            self._load_logged_at = now
-            self._log_load(owner_load_lib.LOAD, now)
-
-    def _log_load(self, kind: str, now: float) -> None:
-        intake, wait_s = self._ownership.describe_intake(now)
-        eliot.log_message(
-            kind,
-            term=self._election.followed.term,
-            jobs=self._ownership.count_jobs(),
-            intake=intake,
-            wait_ms=round(wait_s * 1000),
-            link_share=round(self._load.link_share, 3),
-            congested_share=round(self._load.congested_share, 3),
-        )
+        self._load.record(self._election.followed.term, now)
 
     def _update_rank(self, now: float) -> None:
         """Lets stronger fronts go first while this one was overloaded."""
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -24,6 +24,7 @@
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import evacuation_cache
 from skylarkcleat.front import job_requests as job_requests_lib
+from skylarkcleat.front import load_log
 from skylarkcleat.front import log_bootstrap
 from skylarkcleat.front import log_service as log_service_lib
 from skylarkcleat.front import ownership as ownership_lib
@@ -108,8 +109,11 @@
             self._configuration_cache,
             self._ownership,
             self._pauses,
-            owner_load.OwnerLoad(settings.limits.link_mbps, now),
-            lambda: hub.bytes_sent,
+            load_log.LoadLog(
+                owner_load.OwnerLoad(settings.limits.link_mbps, now),
+                self._ownership,
+                lambda: hub.bytes_sent,
+            ),
             self._send_any,
         )
         self._peer_discovery = peer_discovery_lib.PeerDiscovery(
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -15,6 +15,7 @@
 from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import election_task as election_task_lib
+from skylarkcleat.front import load_log
 from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
@@ -55,8 +56,9 @@
         configuration_cache_lib.ConfigurationCache(None),
         ownership,
         pause_lib.PauseWatch(election_task_lib.TICK_S, 0.0),
-        owner_load.OwnerLoad(LINK_MBPS, 0.0),
-        lambda: 0,
+        load_log.LoadLog(
+            owner_load.OwnerLoad(LINK_MBPS, 0.0), ownership, lambda: 0
+        ),
         lambda name, message: sent.append((name, message)),
     )
     created._heartbeats.begin(0.0)
@@ -136,7 +138,7 @@
     task, mbps, is_stronger, monkeypatch
 ):
     now, link = 0.0, []
-    monkeypatch.setattr(task, "_count_sent", lambda: sum(link))
+    monkeypatch.setattr(task._load, "_count_sent", lambda: sum(link))
     monkeypatch.setattr(task, "_heartbeats", types.SimpleNamespace(run=id))
     with_disk = rank_lib.find_rank(True, 1.7, 200.0)
     while now < 2 * owner_load.WINDOW_S:
