--- a/src/skylarkcleat/http_limits/limits.py
+++ b/src/skylarkcleat/http_limits/limits.py
@@ -30,6 +30,14 @@
 DISCARDED_BYTES = 16 * 1024 * 1024
 """How much of a refused body is read, so that the client gets its answer."""
 
+SLICE_BYTES = 16_384
+"""How much is parsed between two checks. The part of a slice that follows a
+complete request is not counted."""
+
+UNCOUNTED_BYTES = 4096
+"""A read that ends with a complete request is not counted up to this size: its
+handler takes it over in the next turn of the event loop."""
+
 HEAD_TIMEOUT_S = 5.0
 """From the first byte of a header section to its end; clients may take 3 s."""
 
--- a/src/skylarkcleat/http_limits/protocol.py
+++ b/src/skylarkcleat/http_limits/protocol.py
@@ -17,14 +17,6 @@
 from skylarkcleat.http_limits import phase as phase_lib
 from skylarkcleat.http_limits import reason as reason_lib
 
-SLICE_BYTES = 16_384
-"""How much is parsed between two checks. The part of a slice that follows a
-complete request is not counted."""
-
-UNCOUNTED_BYTES = 4096
-"""A read that ends with a complete request is not counted up to this size: its
-handler takes it over in the next turn of the event loop."""
-
 _Phase = phase_lib.Phase
 _Reason = reason_lib.Reason
 
@@ -70,18 +62,15 @@
         self._holding: holding_lib.Holding | None = None
         self._body: streams.StreamReader | None = None
         self._chunked = False
-        self._is_cut = False
-        self._is_refused = False
-        self._part_bytes = 0
-        self._seen_requests = 0
+        self._is_cut = self._is_refused = False
+        self._part_bytes = self._seen_requests = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection; may close it at once."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         address = peer[0] if isinstance(peer, tuple) else ""
-        holding = self._guard.open(self, address, self._loop.time())
-        self._holding = holding
+        self._holding = self._guard.open(self, address, self._loop.time())
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forgets what the connection holds."""
@@ -100,12 +89,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Counts bytes, then parses them."""
-        size = len(data)
-        begin = 0
-        while size - begin > SLICE_BYTES and not self._reading_paused:
-            part = data[begin : begin + SLICE_BYTES]
-            self._receive(part, SLICE_BYTES)
-            begin += SLICE_BYTES
+        begin, size = 0, len(data)
+        while (
+            size - begin > limits_lib.SLICE_BYTES and not self._reading_paused
+        ):
+            part = data[begin : begin + limits_lib.SLICE_BYTES]
+            self._receive(part, limits_lib.SLICE_BYTES)
+            begin += limits_lib.SLICE_BYTES
         # A paused parser keeps what it gets, and copies all of it each time.
         self._receive(data[begin:], size - begin)
 
@@ -119,10 +109,9 @@
     def pause_writing(self) -> None:
         """Counts a response that its client does not read."""
         super().pause_writing()
-        holding = self._holding
-        if holding is None or self._is_cut:
+        if self._is_cut:
             return
-        holding.progressed_at = self._loop.time()
+        self._holding.progressed_at = self._loop.time()
         self._set_unsent(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
@@ -198,7 +187,7 @@
             self._complete(now)
         if self._body is not None:
             holding.begin(_Phase.BODY, now)
-        elif size <= UNCOUNTED_BYTES:
+        elif size <= limits_lib.UNCOUNTED_BYTES:
             return
         self._guard.hold(holding, size, now)
 
@@ -276,10 +265,10 @@
         self, is_discarding: bool
     ) -> reason_lib.Reason | None:
         part_bytes = self._part_bytes
-        if is_discarding:
-            is_over = part_bytes > limits_lib.DISCARDED_BYTES
-            return _Reason.BODY_SIZE if is_over else None
-        if part_bytes > self._max_wire_bytes:
+        limit = self._max_wire_bytes
+        if part_bytes > (
+            limits_lib.DISCARDED_BYTES if is_discarding else limit
+        ):
             return _Reason.BODY_SIZE
         is_behind = self._holding.open_requests
         if is_behind and part_bytes > limits_lib.HEAD_BYTES:
