Let an owner that stood still expire its leases before it yields

Cause: the owner that wakes up handles the other one's heartbeat before its own timers, and hands over all 66 side processes, whose leases had expired. The successor, whose they are, has to register each of them again.

Ruled out: that the successor takes over too much; it can't tell an expired lease from a valid one.

Change: an owner runs its timers before it yields to another.

--- a/src/skylarkcleat/front/election_task.py
+++ b/src/skylarkcleat/front/election_task.py
@@ -149,6 +149,10 @@
         previous = election.followed
         inherited = election.inherited
         was_owner = election.is_owner
+        if was_owner and sender != self._local.name:
+            # An owner that stood still has side processes whose leases have
+            # expired meanwhile: another one would wait for them to register.
+            self._ownership.tick()
         sides = len(self._ownership.sides)
         reply = election.handle_heartbeat(sender, heartbeat, sides, now)
         self.record_owner_version(sender, heartbeat.version)
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -180,3 +180,18 @@
         reply = owning.OwnerHeartbeatReply(TERM, 0.0, rank)
         election.handle_heartbeat_reply(FOLLOWER.name, reply, 0.0)
         assert election.is_outranked_by(FOLLOWER.name) == is_outranked
+
+
+# An owner that had been frozen handed over side processes which had long been
+# another owner's: each had to register there again, and no job started for 1 s.
+def test_an_owner_that_stood_still_hands_over_no_expired_leases(
+    task, sent, monkeypatch
+):
+    monkeypatch.setattr(
+        task._ownership, "tick", lambda: setattr(task._ownership, "sides", ())
+    )
+    monkeypatch.setattr(task._ownership, "end", lambda _: task._ownership.sides)
+    heartbeat = owning.OwnerHeartbeat(TERM + 1_000_000, (), 9.0, 1, 0)
+    task.receive(FOLLOWER, heartbeat)
+    assert task._election.followed.name == FOLLOWER.name
+    assert owning.Handover(TERM, (), ()) in [message for _, message in sent]
