Let a front's view go before an older reply of it

Found by the whole suite, at: test_a_stopping_owner_hands_over_to_a_front_that_stays[1-0.1-4] failed, each time (0.54 s until a job ran, against 0.35 s).

Cause: a follower's rank by its last reply went before its view always. A front that is about to stop tells so by a view at once, and its last reply is up to 80 ms older: the owner handed its jobs to a front that was stopping, too.

Change: the later one of the two counts.

Test: a view goes before an older reply.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -261,15 +261,16 @@
         return rank is not None and rank < self.rank
 
     def _find_rank(self, name: str) -> int | None:
-        """Returns a front's rank; None if it is unknown.
+        """Returns the rank that a front told last; None if it is unknown.
 
-        Views are asked for in searches only, and may be old.
+        Views are asked for in searches only, and may be old; but a front that
+        is about to stop sends one at once.
         """
-        found = self._views.get(name)
-        told = self._followers.find_rank(name)
-        if told is not None or found is None:
+        view, viewed_at = self._views.get(name, (None, float("-inf")))
+        told = self._followers.find_rank(name, viewed_at)
+        if told is not None or view is None:
             return told
-        return found[0].sender.rank
+        return view.sender.rank
 
     def find_successor(self, now: float, is_stopping: bool) -> str:
         """Returns the front that should replace this one as the owner.
--- a/src/skylarkcleat/discovery/followers.py
+++ b/src/skylarkcleat/discovery/followers.py
@@ -65,10 +65,18 @@
             follower.record(sent_at, now)
         follower.rank = rank
 
-    def find_rank(self, name: str) -> int | None:
-        """Returns a follower's rank by its last reply, if it told it."""
+    def find_rank(self, name: str, since: float) -> int | None:
+        """Returns a follower's rank by its last reply, if it told it.
+
+        Args:
+            name: The follower.
+            since: A reply that was handled before this time doesn't count, in
+                seconds.
+        """
         follower = self._by_name.get(name)
-        return follower.rank if follower is not None else None
+        if follower is None or follower.handled_at < since:
+            return None
+        return follower.rank
 
     def list_responsive(self, now: float) -> list[tuple[str, Follower]]:
         """Returns the followers that are not known to be gone, by name.
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -195,3 +195,15 @@
     task.receive(FOLLOWER, heartbeat)
     assert task._election.followed.name == FOLLOWER.name
     assert owning.Handover(TERM, (), ()) in [message for _, message in sent]
+
+
+# An owner handed its jobs to a front that had just said that it stops.
+def test_a_view_goes_before_an_older_reply(task):
+    front = locating.FrontRef(FOLLOWER.name, "z", 99, True, False, 0)
+    followed = locating.OwnerRef(LOCAL.name, TERM)
+    view = locating.View(front, (), followed, 0, locating.LogRef(), (), 1)
+    election = task._election
+    reply = owning.OwnerHeartbeatReply(TERM, 0.0, -2)
+    election.handle_heartbeat_reply(FOLLOWER.name, reply, 0.0)
+    election.record_view(view, 0.1)
+    assert not election.is_outranked_by(FOLLOWER.name)
