Release a response once it is sent

Ruled out: cycles of closed connections that a collection misses (100 open connections in one process: 100 responses alive, all referred to by the frames of aiohttp's connections) and the bound on reads at once.

--- a/src/skylarkcleat/http_limits/protocol.py
+++ b/src/skylarkcleat/http_limits/protocol.py
@@ -140,6 +140,9 @@
             # Its frames hold the body, in a cycle that is collected much later.
             resp.__traceback__ = None
         result = await super().finish_response(request, resp, start_time)
+        if isinstance(resp, web.Response):
+            # aiohttp keeps the last response until the next request.
+            resp.body = None
         self._end_request(request)
         return result
 
--- a/tests/test_http_limits_reader.py
+++ b/tests/test_http_limits_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import weakref
 
 import hypothesis
 from aiohttp import web
@@ -133,3 +134,34 @@
     guarded = asyncio.run(feed(stream, size, is_guarded=True))
     assert guarded == asyncio.run(feed(stream, size, is_guarded=False))
     assert guarded == [b"200"] * len(requests)
+
+
+class Body(bytearray):
+    """Bytes that can be referred to weakly."""
+
+
+def test_an_idle_connection_keeps_no_response():
+    # Guards against clients that read configurations back and stay open.
+    bodies = []
+
+    async def answer(request):
+        await request.read()
+        body = Body(b"configuration")
+        bodies.append(weakref.ref(body))
+        return web.Response(body=body)
+
+    async def main():
+        guard = guard_lib.create_guard()
+        protocol = server_lib.create_server(guard, BODY_BYTES, answer)()
+        transport = FakeTransport(protocol)
+        protocol.connection_made(transport)
+        protocol.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert not transport.is_closed
+        assert b"configuration" in transport.written
+        assert [body() for body in bodies] == [None]
+        transport.close()
+        await asyncio.sleep(0.001)
+
+    asyncio.run(main())
