Count the long header sections of idle connections

aiohttp refers to the last request of a connection until its next one. An idle connection with 15 KB of header fields kept about 60 KB that nothing counted, so that 7,000 of them, which 10,250 descriptors allow, would have taken over 400 MB. Found while tracing the responses that were kept the same way.

Ruled out: dropping the references. They are locals of aiohttp's connection, and its parsed message can't be changed. A factor for the parsed copies: the budget's fraction of the memory already allows for 4.7 times what counts.

The new test failed before (0 bytes counted for ten such connections).

--- a/src/skylarkcleat/http_limits/protocol.py
+++ b/src/skylarkcleat/http_limits/protocol.py
@@ -35,6 +35,7 @@
         "_body",
         "_chunked",
         "_guard",
+        "_head_bytes",
         "_holding",
         "_is_cut",
         "_is_refused",
@@ -64,6 +65,7 @@
         self._chunked = False
         self._is_cut = self._is_refused = False
         self._part_bytes = self._seen_requests = 0
+        self._head_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection; may close it at once."""
@@ -103,8 +105,8 @@
         """Records that the handler has taken over the body of its request."""
         holding = self._holding
         if holding.held_bytes and holding.phase is _Phase.OPEN:
-            size = holding.held_bytes - holding.unsent_bytes
-            self._guard.release(holding, size)
+            kept = self._head_bytes + holding.unsent_bytes
+            self._guard.release(holding, max(holding.held_bytes - kept, 0))
 
     def pause_writing(self) -> None:
         """Counts a response that its client does not read."""
@@ -182,6 +184,7 @@
                 return
             complete += holding.phase is not _Phase.DISCARDING
         self._seen_requests = self._request_count
+        self._keep_head(size, now)
         self._end_part()
         if self._messages:
             complete -= self._follow_last(*self._messages[-1])
@@ -194,6 +197,20 @@
             return
         self._guard.hold(holding, size, now)
 
+    def _keep_head(self, size: int, now: float) -> None:
+        """Counts a long header section: aiohttp keeps it until the next one."""
+        head_bytes = 0
+        is_long = self._part_bytes + size > limits_lib.UNCOUNTED_BYTES
+        if is_long and self._messages:
+            fields = getattr(self._messages[-1][0], "raw_headers", ())
+            head_bytes = sum(len(name) + len(value) for name, value in fields)
+        grown = head_bytes - self._head_bytes
+        self._head_bytes = head_bytes
+        if grown > 0:
+            self._guard.hold(self._holding, grown, now)
+        elif grown:
+            self._guard.release(self._holding, -grown)
+
     def _follow_last(self, message: t.Any, body: streams.StreamReader) -> int:
         """Begins to follow a body; returns how many requests lack theirs."""
         if type(message) is not RawRequestMessage:
@@ -237,7 +254,7 @@
             holding.begin(_Phase.HEAD, now)
         if not holding.held_bytes:
             return
-        kept = self._part_bytes + holding.unsent_bytes
+        kept = self._part_bytes + self._head_bytes + holding.unsent_bytes
         self._guard.release(holding, max(holding.held_bytes - kept, 0))
 
     def _follow_body(self, size: int, now: float) -> None:
@@ -261,7 +278,8 @@
             self._close_for(reason)
         elif not is_discarding:
             # A compressed body is larger than what was received.
-            grown = max(self._part_bytes, body.total_bytes) - holding.held_bytes
+            counted = holding.held_bytes - self._head_bytes
+            grown = max(self._part_bytes, body.total_bytes) - counted
             self._guard.hold(holding, max(size, grown), now)
 
     def _find_body_excess(
--- a/tests/test_http_limits_reader.py
+++ b/tests/test_http_limits_reader.py
@@ -16,6 +16,7 @@
 
 BODY_BYTES = 2000
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
+LONG_HEAD = HEAD + b"X-Long: " + b"x" * 15_500 + b"\r\n\r\n"
 PARTS = st.sampled_from(
     [
         HEAD,
@@ -165,3 +166,34 @@
         await asyncio.sleep(0.001)
 
     asyncio.run(main())
+
+
+def test_header_sections_of_idle_connections_count():
+    # Guards against idle clients that make a process keep 16 KB of fields each.
+    clients = 10
+
+    async def answer(request):
+        return web.Response()
+
+    async def main():
+        guard = guard_lib.create_guard(max_fds=4096)
+        server = server_lib.create_server(guard, BODY_BYTES, answer)
+        protocols = [server() for _ in range(clients)]
+        for protocol in protocols:
+            protocol.connection_made(FakeTransport(protocol))
+            for head in (LONG_HEAD, LONG_HEAD):
+                protocol.data_received(head)
+                for _ in range(20):
+                    await asyncio.sleep(0)
+        assert guard.budget.held_bytes > clients * 15_000
+        for protocol in protocols:
+            protocol.data_received(HEAD + b"\r\n")
+            for _ in range(20):
+                await asyncio.sleep(0)
+        assert guard.budget.held_bytes == 0
+        assert guard.budget.connections == clients
+        for protocol in protocols:
+            protocol.transport.close()
+        await asyncio.sleep(0.001)
+
+    asyncio.run(main())
