Let a weak front that hears nobody search for longer

A weak front that knows a strong one besides the lost owner, and gets no view at all, now searches for 0.55 s in place of 0.15 s. It claims 0.75 s after the last heartbeat, while its list of the side processes still counts as complete (0.8 s). Strong fronts, and weak ones among weak ones, claim as before; a weak one that is really left alone claims 0.4 s later.

Ruled out: comparing only the side processes that have registered. They follow the larger term within milliseconds, so that the claimant has them all by the time the owner's next heartbeat gets through its link. Deciding a tie by rank: the owner would stay without any side process until then.

The new test failed before.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -36,6 +36,12 @@
 """How long a front searches at least before it claims the ownership, so that
 others have time to reply."""
 
+UNHEARD_SEARCH_S = 0.55
+"""How long a weak front searches at least if no other front replies, though it
+knows a strong one. It hears nobody while a configuration fills its link, for
+0.4 s on 12.5 Mbit/s, and would displace an owner that all others follow. Its
+list of the side processes is still complete then."""
+
 STALL_S = 0.15
 """After a pause of this length between two ticks a front restarts its search,
 to process the messages that arrived meanwhile first."""
@@ -311,11 +317,24 @@
         timeout_ms = lease.OWNER_TIMEOUT_S * 1000
         if any(0 <= v.owner_last_seen_ms < timeout_ms for v in recent):
             return False
+        if not recent and self._may_be_unheard(now):
+            return False
         mine = rank_lib.Candidate(
             self.find_shown_rank(now), self._local_name, self.followed.term
         )
         return mine.may_claim(recent, self._is_search_late(now))
 
+    def _may_be_unheard(self, now: float) -> bool:
+        """Returns whether its own link may be why a weak front hears nobody."""
+        since = self._searching_since
+        if since is None or now - since >= UNHEARD_SEARCH_S:
+            return False
+        return rank_lib.is_weak(self.rank) and any(
+            name != self.followed.name
+            and not rank_lib.is_weak(view.sender.rank)
+            for name, (view, _) in self._views.items()
+        )
+
     def _lacks_list(self, now: float) -> bool:
         """Returns whether others may know the lost owner's sides better.
 
--- a/src/skylarkcleat/discovery/rank.py
+++ b/src/skylarkcleat/discovery/rank.py
@@ -83,6 +83,11 @@
         return level, -self.followed_term, is_outdated, rank, self.name
 
 
+def is_weak(rank: int) -> bool:
+    """Returns whether a front without a disk is too weak for a full load."""
+    return _DISK_RANK < rank < UNSUITABLE_RANK
+
+
 def find_overloaded_rank(rank: int) -> int:
     """Returns the rank of an owner that needs more than it has.
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -239,6 +239,33 @@
     return election
 
 
+# A weak front with a link full of a configuration heard nobody, and displaced
+# an owner that all others followed.
+@pytest.mark.parametrize(
+    ("rank", "known", "most_s"),
+    [
+        (WEAK, (STRONG,), 0.8),
+        (WEAK, (WEAK + 1,), 0.4),
+        (WEAK, (), 0.4),
+        (STRONG, (STRONG + 1,), 0.4),
+    ],
+)
+def test_a_weak_front_that_hears_nobody_waits_for_a_strong_one(
+    rank, known, most_s
+):
+    election = _start("front-1", rank, 7_000_000)
+    for number, other in enumerate(known):
+        election.record_view(_describe(f"front-{number + 2}", other, 0), 0.5)
+    waited_s = _tick_until_claim(election, 1.0) - 1.0
+    assert most_s - 0.2 < waited_s <= most_s
+
+
+def test_a_weak_front_does_not_wait_for_the_owner_that_is_lost():
+    election = _start("front-1", WEAK, 7_000_000)
+    election.record_view(_describe("front-0", STRONG, 7_000_000), 0.5)
+    assert _tick_until_claim(election, 1.0) <= 1.4
+
+
 TERM = 5_000_001
 DISKLESS = rank_lib.find_rank(False, 1.29, 31.0)
 
