Share a short capacity only where asked for and in a deep shortage

Shares among queues were in force wherever queues have priorities, which is on every deployment, though what is new has to be asked for.

Shares, acceptance, reservations and refusals for others now need the setting shares-capacity of the fronts, off by default, and apply only from 1.8 times the counted capacity on.

The tests of overloads set the policy and keep their bounds; those of other loads now run without shares, as they did before shares were built.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -14,6 +14,7 @@
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import start_batches
 from skylarkcleat.wire import session as session_lib
@@ -32,6 +33,7 @@
         local: The endpoint of this front.
         configuration_cache: Lists the queues.
         send: Sends a message to one incarnation of a process.
+        policy: What the settings choose.
 
     Attributes:
         term: The term of the ownership; 0 without one.
@@ -42,8 +44,10 @@
         local: session_lib.Endpoint,
         configuration_cache: configuration_cache_lib.ConfigurationCache,
         send: t.Callable[[session_lib.Endpoint, t.Any], None],
+        policy: policy_lib.Policy = policy_lib.DEFAULT,
     ) -> None:
         self.term = 0
+        self._policy = policy
         self._local = local
         self._configuration_cache = configuration_cache
         self._send = send
@@ -72,7 +76,9 @@
         """Starts being the owner in a term."""
         now = clock_lib.read_monotonic()
         self.term = term
-        self._owner = owner_lib.Owner(self._local, predecessor, now)
+        self._owner = owner_lib.Owner(
+            self._local, predecessor, now, self._policy
+        )
         eliot.log_message(
             "owner:begun",
             term=term,
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -39,6 +39,7 @@
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.wire import event as event_lib
 from skylarkcleat.wire import hub as hub_lib
 from skylarkcleat.wire import session as session_lib
@@ -99,7 +100,10 @@
             evacuation_cache.create_evacuation_cache(settings, store, log),
         )
         self._ownership = ownership_lib.Ownership(
-            local, self._configuration_cache, self._send
+            local,
+            self._configuration_cache,
+            self._send,
+            policy_lib.Policy(settings.scheduling.shares_capacity),
         )
         self._pauses = pause_lib.PauseWatch(election_task_lib.TICK_S, now)
         self._election_task = election_task_lib.ElectionTask(
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -52,6 +52,17 @@
     max_skew_ms: int = msgspec.field(name="max-skew-ms", default=0)
 
 
+class Scheduling(msgspec.Struct):
+    """What an operator may choose about the order of jobs.
+
+    Attributes:
+        shares_capacity: Whether queues get shares of a capacity that is far
+            too short, by their priority.
+    """
+
+    shares_capacity: bool = msgspec.field(name="shares-capacity", default=False)
+
+
 class FaultTolerance(msgspec.Struct):
     """What may be lost at the same time while all guarantees hold.
 
@@ -79,6 +90,7 @@
         limits: The resources of the VM.
         fault_tolerance: What may be lost at the same time.
         bounds: Limits that the infrastructure guarantees.
+        scheduling: What an operator may choose about the order of jobs.
         zones: The region of each availability zone of the system; empty if
             zones can't be evacuated.
     """
@@ -98,6 +110,7 @@
         default_factory=FaultTolerance
     )
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    scheduling: Scheduling = msgspec.field(default_factory=Scheduling)
     zones: dict[str, object] = msgspec.field(default_factory=dict)
 
 
--- a/src/skylarkcleat/scheduling/backlog.py
+++ b/src/skylarkcleat/scheduling/backlog.py
@@ -1,9 +1,11 @@
 """The order in which waiting jobs get capacity.
 
-Keeps bursts of long jobs from delaying short ones, and lasting overloads from
-making every job late: jobs that their queue's share of the capacity can serve
-in time go first, by their latest start time; the others get what is left, the
-latest arrivals first, since those can still be of use.
+Keeps bursts of long jobs from delaying short ones: jobs that can still end in
+time go first, by their latest start time; the others get what is left, the
+oldest first. Where the policy shares a capacity that is far too short, not to
+make every job late, only those go first that their queue's share of it can
+serve in time; of the others the latest arrivals come first, since those can
+still be of use.
 """
 
 from __future__ import annotations
@@ -17,7 +19,9 @@
 from skylarkcleat.scheduling import capacity_shares
 from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import placement_pass
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.scheduling import queue_line as queue_line_lib
+from skylarkcleat.scheduling import shortage as shortage_lib
 
 HELD_S = 1.0
 """A job that can't end in time is refused only while this much work, at the
@@ -44,12 +48,15 @@
 class Backlog:
     """The jobs that have tasks to start.
 
+    Args:
+        policy: Whether a capacity that is far too short is shared.
+
     Attributes:
         is_full: Whether the last pass ended since so many jobs did not fit.
-        deferred_core_s: The work of the jobs that only get what is left.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, policy: policy_lib.Policy = policy_lib.DEFAULT) -> None:
+        self._policy = policy
         self._timely: sortedcontainers.SortedList[_Entry]
         self._timely = sortedcontainers.SortedList()
         self._late: sortedcontainers.SortedList[_Entry]
@@ -58,6 +65,7 @@
         self._added: dict[str, active_job.ActiveJob] = {}
         self._lines: dict[str, queue_line_lib.QueueLine] = {}
         self._number = 0
+        self._shortages: dict[str, shortage_lib.Shortage] = {}
         self._short: dict[str, float] = {}
         self.is_full = False
 
@@ -91,11 +99,11 @@
                 backlog.
         """
         self._sort_in(now)
-        offers = placement_pass.PlacementPass(now, place)
+        offers = placement_pass.PlacementPass(now, place, self._short)
         for entry in self._timely:
             if not offers.offer(entry.job, is_timely=True):
                 break
-        for entry in self._late:
+        for entry in self._iterate_late():
             if not offers.offer(entry.job, is_timely=False):
                 break
         self.is_full = offers.is_over
@@ -118,7 +126,12 @@
         self._short.clear()
         for upstream, lines in by_upstream.items():
             capacity = capacities.get(upstream, math.inf)
-            if _divide(lines, capacity) <= 0:
+            _divide(lines, capacity)
+            shortage = self._shortages.setdefault(
+                upstream, shortage_lib.Shortage()
+            )
+            shortage.record(sum(line.demand for line in lines), capacity)
+            if shortage.is_deep and self._policy.shares_capacity:
                 self._short[upstream] = capacity
 
     def find_retry_s(self, job: active_job.ActiveJob) -> float:
@@ -133,8 +146,8 @@
         """Returns the jobs to refuse since others can use the capacity better.
 
         Those that can no longer end in time, the oldest first, of upstreams
-        whose queues ask for more than the runners can do. Enough work is kept
-        that no runner is idle soon after a refusal.
+        whose queues ask for far more than the runners can do. Enough work is
+        kept that no runner is idle soon after a refusal.
         """
         if not self._short:
             return []
@@ -171,7 +184,7 @@
         """
         self._sort_in(now)
         ahead = 0.0
-        for entries in (self._timely, self._late):
+        for entries in (self._timely, self._iterate_late()):
             for entry in entries:
                 yield entry.job, now + (ahead / cores if cores else 0.0)
                 ahead += entry.job.find_waiting_core_s()
@@ -191,7 +204,9 @@
         if not job.started:
             line.record_arrival(core_s)
         is_accepted = job.latest_start > now and (
-            job.started or line.accepts(job, now)
+            job.started
+            or line.upstream not in self._short
+            or line.accepts(job, now)
         )
         if job.forecast is None:
             job.forecast = _create_forecast(line, is_accepted)
@@ -215,6 +230,9 @@
         self._entries[job.job.id] = entry
         self._late.add(entry)
 
+    def _iterate_late(self) -> t.Iterator[_Entry]:
+        return iter(self._late) if self._short else reversed(self._late)
+
     def _find_line(self, job: active_job.ActiveJob) -> queue_line_lib.QueueLine:
         queue = job.queue
         line = self._lines.get(queue.name)
@@ -241,12 +259,12 @@
 
 def _divide(
     lines: t.Sequence[queue_line_lib.QueueLine], capacity: float
-) -> float:
-    """Sets the rates of an upstream's queues; returns what none asks for."""
+) -> None:
+    """Sets the rates of an upstream's queues."""
     if math.isinf(capacity):
         for line in lines:
             line.rate = math.inf
-        return math.inf
+        return
     demands = [
         capacity_shares.Demand(line.weight, line.demand) for line in lines
     ]
@@ -254,4 +272,3 @@
     spare = max(capacity - sum(parts), 0.0)
     for line, part in zip(lines, parts, strict=True):
         line.rate = part + spare
-    return spare
--- a/src/skylarkcleat/scheduling/job_table.py
+++ b/src/skylarkcleat/scheduling/job_table.py
@@ -9,6 +9,7 @@
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import backlog as backlog_lib
 from skylarkcleat.scheduling import placed_run
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.scheduling import recent_outcomes as recent_outcomes_lib
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.wire import session as session_lib
@@ -43,9 +44,11 @@
         queued: The jobs put into the backlog since the last placement.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(
+        self, now: float, policy: policy_lib.Policy = policy_lib.DEFAULT
+    ) -> None:
         self.active: dict[str, active_job.ActiveJob] = {}
-        self.backlog = backlog_lib.Backlog()
+        self.backlog = backlog_lib.Backlog(policy)
         self.recent = recent_outcomes_lib.RecentOutcomes(now)
         self.estimates = speed_lib.EstimateFactors()
         self.needs_placement = False
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -24,6 +24,7 @@
 from skylarkcleat.scheduling import job_table as job_table_lib
 from skylarkcleat.scheduling import outbox as outbox_lib
 from skylarkcleat.scheduling import owner_state
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.scheduling import room_index as room_index_lib
 from skylarkcleat.scheduling import run_endings as run_endings_lib
@@ -42,6 +43,7 @@
         local: The front that is the owner.
         predecessor: What it knows of the previous owner.
         now: The time, in seconds.
+        policy: What the settings choose.
 
     Attributes:
         followers: The fronts that follow this owner.
@@ -53,13 +55,14 @@
         local: session_lib.Endpoint,
         predecessor: predecessor_lib.Predecessor,
         now: float,
+        policy: policy_lib.Policy = policy_lib.DEFAULT,
     ) -> None:
         self._predecessor = predecessor
         self._begun_at = now
         state = owner_state.OwnerState(
             follower_leases_lib.FollowerLeases(local, predecessor.fronts, now),
             workers_lib.Workers(predecessor.sides, predecessor.settled_at, now),
-            job_table_lib.JobTable(now),
+            job_table_lib.JobTable(now, policy),
             outbox_lib.Outbox(),
         )
         self.followers = state.followers
--- a/src/skylarkcleat/scheduling/placement_pass.py
+++ b/src/skylarkcleat/scheduling/placement_pass.py
@@ -23,9 +23,10 @@
 waits for capacity: it would occupy it for many times the other's objective."""
 
 RESERVED_S = 0.02
-"""How long a job that can end in time and does not fit keeps others from taking
-the room that it waits for. Otherwise jobs of few tasks take each core as it is
-freed, and those of many wait for as long as an overload lasts."""
+"""While capacity is far too short, how long a job that can end in time and
+does not fit keeps others from taking the room that it waits for. Otherwise jobs
+of few tasks take each core as it is freed, and those of many wait for as long
+as the shortage lasts."""
 
 Placer = t.Callable[[active_job.ActiveJob], offer_result.OfferResult]
 
@@ -36,17 +37,21 @@
     Args:
         now: The time, in seconds.
         place: Starts a job's tasks.
+        short: The upstreams of which capacity is far too short.
 
     Attributes:
         placed: The jobs of which all tasks were started.
         is_over: Whether it ended before all jobs were asked.
     """
 
-    def __init__(self, now: float, place: Placer) -> None:
+    def __init__(
+        self, now: float, place: Placer, short: t.Container[str] = ()
+    ) -> None:
         self.placed: list[active_job.ActiveJob] = []
         self.is_over = False
         self._now = now
         self._place = place
+        self._short = short
         self._blocked = 0
         self._skipped = 0
         self._shortest_s = math.inf
@@ -84,7 +89,10 @@
         self, job: active_job.ActiveJob, result: offer_result.OfferResult
     ) -> None:
         self._shortest_s = min(self._shortest_s, job.expected_s)
-        if result is not offer_result.OfferResult.NO_ROOM:
+        if (
+            result is not offer_result.OfferResult.NO_ROOM
+            or job.queue.upstream not in self._short
+        ):
             return
         if job.blocked_since is None:
             job.blocked_since = self._now
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -16,6 +16,7 @@
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
+from skylarkcleat.scheduling import policy as policy_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
 from skylarkcleat.wire import session as session_lib
 
@@ -121,6 +122,7 @@
         joining: From when to when the runners join, one after another, in
             seconds; jobs arrive from the beginning.
         seed: The seed of the random numbers.
+        policy: What an operator may choose.
     """
 
     rate: float = 1.0
@@ -133,6 +135,7 @@
     deadly: DeadlyTasks | None = None
     joining: tuple[float, float] = (0.0, 0.0)
     seed: int = 1
+    policy: policy_lib.Policy = policy_lib.DEFAULT
 
 
 class Outcome(t.NamedTuple):
@@ -159,7 +162,9 @@
         self.random = random.Random(load.seed)
         self.outcomes: list[Outcome] = []
         self.runs: list[tuple[float, float, int, str, str]] = []
-        self.owner = owner_lib.Owner(FRONT, predecessor_lib.Predecessor(), 0.0)
+        self.owner = owner_lib.Owner(
+            FRONT, predecessor_lib.Predecessor(), 0.0, load.policy
+        )
         self._events: list[tuple[float, int, t.Callable[[float], None]]] = []
         self._count = itertools.count()
         self._requests: dict[int, tuple[JobClass, float, float, int, str]] = {}
--- a/tests/test_scheduling_overload.py
+++ b/tests/test_scheduling_overload.py
@@ -9,6 +9,7 @@
 import pytest
 
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import policy as policy_lib
 from tests import scheduling_world as world_lib
 
 RUNNERS = 65
@@ -23,6 +24,7 @@
         runners=runners,
         length_s=length_s,
         bursts=bursts,
+        policy=policy_lib.Policy(shares_capacity=True),
     )
     return world_lib.Simulation(load).play()
 
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -13,7 +13,9 @@
 from skylarkcleat.scheduling import capacity_shares
 from skylarkcleat.scheduling import job_forecast
 from skylarkcleat.scheduling import offer_result
+from skylarkcleat.scheduling import policy as policy_lib
 
+SHARED = policy_lib.Policy(shares_capacity=True)
 DEMANDS = st.lists(
     st.builds(
         capacity_shares.Demand,
@@ -57,7 +59,7 @@
 )
 def test_every_job_is_offered_room_that_it_fits_into(jobs, cores):
     """No task waits beside free room, however short the capacity is."""
-    backlog = backlog_lib.Backlog()
+    backlog = backlog_lib.Backlog(SHARED)
     for number, (priority, tasks) in enumerate(jobs):
         backlog.add(_create_job(number, priority, tasks, 0.1))
         backlog.review(0.1 + number / 100, {"desk": cores})
@@ -75,7 +77,7 @@
     jobs, cores
 ):
     """Guards against idle runners after a refusal, and against false ones."""
-    backlog = backlog_lib.Backlog()
+    backlog = backlog_lib.Backlog(SHARED)
     waiting = []
     for number, (priority, tasks) in enumerate(jobs):
         waiting.append(_create_job(number, priority, tasks, 0.0))
@@ -94,7 +96,7 @@
 
 def test_the_line_about_a_job_tells_its_forecast_and_what_came_of_it():
     """Guards against a wait that no line explains."""
-    backlog = backlog_lib.Backlog()
+    backlog = backlog_lib.Backlog(SHARED)
     for number in range(400):
         backlog.add(_create_job(number, 0, 8, number / 1000))
         backlog.review(number / 1000, {"desk": 1.0})
@@ -107,3 +109,46 @@
     assert fields["forecast_wait_ms"] > 0
     assert fields["waited_ms"] == 250
     assert job_forecast.describe(None, None) == {}
+
+
+def _overload(factor, policy, jobs=100):
+    """Returns a backlog whose queue asks for so many times the capacity."""
+    backlog = backlog_lib.Backlog(policy)
+    cores = 0.8 * 100 / factor
+    for number in range(jobs):
+        now = number / 100
+        backlog.add(_create_job(number, number % 3, 8, now))
+        backlog.review(now, {"desk": cores})
+    return backlog, cores
+
+
+@pytest.mark.parametrize(
+    ("factor", "policy", "is_shared"),
+    [
+        (1.4, SHARED, False),
+        (2.2, SHARED, True),
+        (2.2, policy_lib.DEFAULT, False),
+    ],
+)
+def test_shares_are_applied_only_where_asked_for_and_in_a_deep_shortage(
+    factor, policy, is_shared
+):
+    """Guards against refusals that slight overloads don't need.
+
+    A deployment refused 30 jobs in a second for others that were served in
+    time without.
+    """
+    backlog, cores = _overload(factor, policy)
+    last = _create_job(999, 2, 8, 0.99)
+    backlog.add(last)
+    backlog.review(1.0, {"desk": cores})
+    is_deferred = last.forecast.admission is job_forecast.Admission.DEFERRED
+    assert is_deferred == is_shared
+    order = []
+
+    def record(job):
+        order.append(job.submitted_at)
+        return offer_result.OfferResult.PLACED
+
+    backlog.place(1.4, record)
+    assert order == sorted(order, reverse=is_shared)
