Stop again after evacuate-ms without news of the log

Left open, in docs/design/evacuation.md: such an owner refuses the jobs of all zones while it is cut off for longer than 3.25 s.

--- a/src/skylarkcleat/front/evacuation_cache.py
+++ b/src/skylarkcleat/front/evacuation_cache.py
@@ -28,8 +28,6 @@
         evacuate_s: How long after its acknowledgement an evacuation has to be
             in force, in seconds.
         is_leading: Whether this front leads the log and no other can.
-        unstable_s: How much later it may be in force while the log is
-            unstable, in seconds.
 
     Attributes:
         zones: The zones that the settings name.
@@ -41,13 +39,10 @@
         zones: t.Iterable[str] = (),
         evacuate_s: float = 0.0,
         is_leading: t.Callable[[], bool] = lambda: False,
-        unstable_s: float = 0.0,
     ) -> None:
         self.zones = tuple(sorted(zones))
         self._store = store
-        self._max_news_age_s = zones_in_use.find_max_news_age_s(
-            evacuate_s, unstable_s
-        )
+        self._max_news_age_s = zones_in_use.find_max_news_age_s(evacuate_s)
         self._is_leading = is_leading
         self._current = evacuations_lib.Evacuations()
         self._in_use = zones_in_use.ALL_IN_USE
@@ -162,5 +157,4 @@
         settings.zones,
         settings.bounds.evacuate_ms / 1000,
         lambda: log is not None and log.is_leading,
-        settings.bounds.max_skew_ms / 1000,
     )
--- a/src/skylarkcleat/platform/settings.py
+++ b/src/skylarkcleat/platform/settings.py
@@ -49,7 +49,6 @@
     grace_s: float = msgspec.field(name="grace-s", default=6.0)
     max_hold_ms: int = msgspec.field(name="max-hold-ms", default=1000)
     evacuate_ms: int = msgspec.field(name="evacuate-ms", default=5000)
-    max_skew_ms: int = msgspec.field(name="max-skew-ms", default=0)
 
 
 class Scheduling(msgspec.Struct):
--- a/src/skylarkcleat/scheduling/zones_in_use.py
+++ b/src/skylarkcleat/scheduling/zones_in_use.py
@@ -54,20 +54,14 @@
 """The view where nothing is evacuated."""
 
 
-def find_max_news_age_s(evacuate_s: float, unstable_s: float = 0.0) -> float:
+def find_max_news_age_s(evacuate_s: float) -> float:
     """Returns for how long news of the log count, in seconds.
 
-    Only an owner that the log can't reach has no news for longer than a view
-    takes, so that the time for an unstable log counts as well: an owner that
-    stops sooner refuses jobs in all zones for the sake of one.
-
     Args:
         evacuate_s: How long after its acknowledgement an evacuation has to be
             in force, in seconds.
-        unstable_s: How much later it may be in force while the log is
-            unstable, in seconds.
     """
-    return max(evacuate_s + unstable_s - PROPAGATION_S, MIN_NEWS_AGE_S)
+    return max(evacuate_s - PROPAGATION_S, MIN_NEWS_AGE_S)
 
 
 def is_certain(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -124,19 +124,6 @@
     assert cache.find_zones(32.3).find_obstacle("east") is EVACUATED
 
 
-# Guards against an owner that refuses the jobs of all zones while the log is
-# unstable for a few seconds.
-def test_knowledge_counts_for_longer_by_the_time_for_an_unstable_log():
-    cache = evacuation_cache.EvacuationCache(
-        None, ["east"], 5.0, unstable_s=6.0
-    )
-    cache.update(evacuations.apply(evacuations.Evacuations(), ORDER))
-    cache.handle_news(News(1, 0, 20.0), 20.1)
-    assert cache.find_zones(29.2).find_obstacle("west") == ""
-    assert cache.find_zones(29.2).find_obstacle("east") is EVACUATED
-    assert cache.find_zones(29.3).find_obstacle("west") is UNKNOWN
-
-
 # Guards against an older copy that replaces a newer, and against knowledge that
 # the one who lacks it has to ask for twice.
 def test_the_newer_copy_is_passed_on():
