--- a/src/skylarkcleat/scheduling/shortage.py
+++ b/src/skylarkcleat/scheduling/shortage.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 ENTER_FACTOR = 1.8
-"""The averaged demand over the capacity from which shares are applied. The
-capacity counts 0.8 of the cores. At 1.6 shares serve 7 % fewer jobs for 3 % more
-value, at 2.0 they add 22 % of value (simulated overloads of 5 s)."""
+"""The averaged demand over the capacity, which counts 0.8 of the cores, from
+which shares are applied. In simulated overloads of 5 s they serve 7 % fewer
+jobs for 3 % more value at 1.6, and add 22 % of value at 2.0."""
 
 LEAVE_FACTOR = 1.5
 """The same below which they are no longer applied. Lower, so that the chance
