Count header sections by their fields, and after their request is complete

Sections are now measured by their target and fields, with 64 bytes for each field, after the request is recorded.

--- a/src/skylarkcleat/http_limits/limits.py
+++ b/src/skylarkcleat/http_limits/limits.py
@@ -38,6 +38,10 @@
 """A read that ends with a complete request is not counted up to this size: its
 handler takes it over in the next turn of the event loop."""
 
+FIELD_OVERHEAD_BYTES = 64
+"""What counts for each header field beside its bytes: 126 fields of 31 bytes
+take 48 KB in memory, more than one field of 15 KB."""
+
 HEAD_TIMEOUT_S = 5.0
 """From the first byte of a header section to its end; clients may take 3 s."""
 
--- a/src/skylarkcleat/http_limits/protocol.py
+++ b/src/skylarkcleat/http_limits/protocol.py
@@ -184,7 +184,6 @@
                 return
             complete += holding.phase is not _Phase.DISCARDING
         self._seen_requests = self._request_count
-        self._keep_head(size, now)
         self._end_part()
         if self._messages:
             complete -= self._follow_last(*self._messages[-1])
@@ -193,17 +192,19 @@
             self._complete(now)
         if self._body is not None:
             holding.begin(_Phase.BODY, now)
-        elif size <= limits_lib.UNCOUNTED_BYTES:
+        self._keep_head(now)
+        if self._body is None and size <= limits_lib.UNCOUNTED_BYTES:
             return
         self._guard.hold(holding, size, now)
 
-    def _keep_head(self, size: int, now: float) -> None:
-        """Counts a long header section: aiohttp keeps it until the next one."""
+    def _keep_head(self, now: float) -> None:
+        """Counts a long header section, which aiohttp keeps.
+
+        Until the next request; by then its handler has ended.
+        """
         head_bytes = 0
-        is_long = self._part_bytes + size > limits_lib.UNCOUNTED_BYTES
-        if is_long and self._messages:
-            fields = getattr(self._messages[-1][0], "raw_headers", ())
-            head_bytes = sum(len(name) + len(value) for name, value in fields)
+        if self._messages:
+            head_bytes = _measure_head(self._messages[-1][0])
         grown = head_bytes - self._head_bytes
         self._head_bytes = head_bytes
         if grown > 0:
@@ -319,3 +320,13 @@
 
     def _close_for(self, reason: reason_lib.Reason) -> None:
         self._guard.close(self._holding, reason)
+
+
+def _measure_head(message: t.Any) -> int:
+    """Returns what a header section takes; 0 for an ordinary one."""
+    if type(message) is not RawRequestMessage:
+        return 0
+    fields = message.raw_headers
+    size = len(message.path) + limits_lib.FIELD_OVERHEAD_BYTES * len(fields)
+    size += sum(len(name) + len(value) for name, value in fields)
+    return size if size > limits_lib.UNCOUNTED_BYTES else 0
--- a/tests/test_http_limits_reader.py
+++ b/tests/test_http_limits_reader.py
@@ -7,6 +7,7 @@
 import weakref
 
 import hypothesis
+import pytest
 from aiohttp import web
 from hypothesis import strategies as st
 
@@ -168,7 +169,34 @@
     asyncio.run(main())
 
 
-def test_header_sections_of_idle_connections_count():
+async def open_protocols(guard, count, answer):
+    """Returns connections that nothing was sent on."""
+    server = server_lib.create_server(guard, 20_000, answer)
+    protocols = [server() for _ in range(count)]
+    for protocol in protocols:
+        protocol.connection_made(FakeTransport(protocol))
+    return protocols
+
+
+async def send(protocol, *parts):
+    """Sends parts one after the other, and lets requests be handled."""
+    for part in parts:
+        protocol.data_received(part)
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("parts", "least"),
+    [
+        ((LONG_HEAD, LONG_HEAD), 15_000),
+        ((HEAD + b"\r\n" + LONG_HEAD[:-2], b"\r\n"), 15_000),
+        ((b"GET /" + b"x" * 15_500 + b" HTTP/1.1\r\nHost: h\r\n\r\n",), 15_000),
+        ((HEAD + b"x: y\r\n" * 100 + b"\r\n",), 6000),
+    ],
+    ids=["field", "after a request", "target", "fields"],
+)
+def test_header_sections_of_idle_connections_count(parts, least):
     # Guards against idle clients that make a process keep 16 KB of fields each.
     clients = 10
 
@@ -177,19 +205,12 @@
 
     async def main():
         guard = guard_lib.create_guard(max_fds=4096)
-        server = server_lib.create_server(guard, BODY_BYTES, answer)
-        protocols = [server() for _ in range(clients)]
+        protocols = await open_protocols(guard, clients, answer)
         for protocol in protocols:
-            protocol.connection_made(FakeTransport(protocol))
-            for head in (LONG_HEAD, LONG_HEAD):
-                protocol.data_received(head)
-                for _ in range(20):
-                    await asyncio.sleep(0)
-        assert guard.budget.held_bytes > clients * 15_000
+            await send(protocol, *parts)
+        assert guard.budget.held_bytes > clients * least
         for protocol in protocols:
-            protocol.data_received(HEAD + b"\r\n")
-            for _ in range(20):
-                await asyncio.sleep(0)
+            await send(protocol, HEAD + b"\r\n")
         assert guard.budget.held_bytes == 0
         assert guard.budget.connections == clients
         for protocol in protocols:
@@ -197,3 +218,30 @@
         await asyncio.sleep(0.001)
 
     asyncio.run(main())
+
+
+def test_a_complete_request_with_a_long_header_section_is_not_closed():
+    # Guards against a request that is closed before it counts as complete.
+    async def main():
+        release = asyncio.Event()
+
+        async def answer(request):
+            await release.wait()
+            return web.Response()
+
+        guard = guard_lib.create_guard()
+        guard.budget.limits = limits_lib.Limits(20_000, 64)
+        first, second = await open_protocols(guard, 2, answer)
+        await send(
+            first, HEAD + b"Content-Length: 14000\r\n\r\n" + b"x" * 14000
+        )
+        await send(second, LONG_HEAD)
+        assert guard.budget.closed == 0
+        release.set()
+        await asyncio.sleep(0.01)
+        assert b" 200 " in second.transport.written
+        for protocol in (first, second):
+            protocol.transport.close()
+        await asyncio.sleep(0.001)
+
+    asyncio.run(main())
