Read callers' hosts and paths in a module of their own

The check of a configuration has to know which hosts and paths a request can have. These rules were lines of a front's handler, which only a running front could apply. They are functions now, which the handler calls; nothing else changes.

Ruled out: the same expressions in the check, a second copy of a rule.

--- a/src/skylarkcleat/platform/ingress.py
+++ b/src/skylarkcleat/platform/ingress.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import math
-import re
 
 from aiohttp import web
 
 from skylarkcleat.front import service as service_lib
+from skylarkcleat.platform import caller_address
 from skylarkcleat.platform import configuration_body
 from skylarkcleat.platform import evacuation_path
 from skylarkcleat.platform import job_body
@@ -25,7 +25,6 @@
 """How many configurations wait for the log at once, which holds their bytes.
 One more is refused, and not run."""
 
-_JOB_PATH = re.compile(r"(.*?)([0-9a-fA-F]{16})", re.DOTALL)
 _JOB_STATES = (
     scheduling.Verdict.COMPLETED,
     scheduling.Verdict.FAILED,
@@ -55,15 +54,15 @@
         """Answers a caller's request about jobs."""
         if not _is_text(request.headers.get("Host", ""), request.path):
             return self._respond(400, {"error": "host or path is not UTF-8"})
-        host = request.headers.get("Host", "").partition(":")[0].lower()
-        found = _JOB_PATH.fullmatch(request.path)
+        host = caller_address.read_host(request.headers.get("Host", ""))
+        found = caller_address.split_path(request.path)
         if request.method == "POST":
             if found is None:
                 return self._respond(404, {})
-            return await self._submit(request, host, *found.groups())
+            return await self._submit(request, host, *found)
         if request.method not in ("GET", "DELETE"):
             return self._respond(405, {})
-        path, job = found.groups() if found else (request.path, "")
+        path, job = found or (request.path, "")
         if not job and request.method == "DELETE":
             return self._respond(404, {})
         cancel = request.method == "DELETE"
