Tell where a refused configuration is at fault

A refusal named a route or a path in the decoded structure, such as `$.routes[311].host`, but no line of the operator's file. What is accepted does not change; "two services share a name" names it, and a route without a timeout is told what is allowed.

Ruled out: positions from the decoder, which gives a byte for malformed JSON only; a JSON parser with positions, another dependency.

--- a/src/skylarkcleat/platform/configuration_body.py
+++ b/src/skylarkcleat/platform/configuration_body.py
@@ -7,9 +7,21 @@
 from skylarkcleat.configuration import content
 from skylarkcleat.platform import json_body
 
+Place = tuple[str | int, ...]
+"""The keys and positions that lead to a value in a document."""
+
 
 class ConfigurationError(ValueError):
-    """The configuration is not valid; the message names the reason."""
+    """The configuration is not valid; the message names the reason.
+
+    Attributes:
+        place: Where the offending value is; empty if the document can't be
+            read, since the message names the place then.
+    """
+
+    def __init__(self, reason: str, place: Place = ()) -> None:
+        super().__init__(reason)
+        self.place = place
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -78,22 +90,39 @@
 
 def _check(body: _Body) -> None:
     if body.version < 1:
-        raise ConfigurationError(f"version {body.version} is not positive")
+        raise ConfigurationError(
+            f"version {body.version} is not positive", ("version",)
+        )
+    _check_services(body)
     services = {service.name for service in body.services}
-    if len(services) < len(body.services):
-        raise ConfigurationError("two services share a name")
     addresses = set()
-    for route in body.routes:
+    for number, route in enumerate(body.routes):
+        place = ("routes", number)
         if route.service not in services:
             raise ConfigurationError(
                 f"route {route.name!r} names the unknown service "
-                f"{route.service!r}"
+                f"{route.service!r}",
+                (*place, "service"),
             )
         if route.timeout_ms <= 0:
-            raise ConfigurationError(f"route {route.name!r} has no timeout")
+            raise ConfigurationError(
+                f"route {route.name!r} has no timeout, which must be above 0",
+                (*place, "timeout-ms"),
+            )
         address = (route.host.lower(), route.path_prefix)
         if address in addresses:
             raise ConfigurationError(
-                f"route {route.name!r} shares its host and prefix"
+                f"route {route.name!r} shares its host and prefix", place
             )
         addresses.add(address)
+
+
+def _check_services(body: _Body) -> None:
+    names = set()
+    for number, service in enumerate(body.services):
+        if service.name in names:
+            raise ConfigurationError(
+                f"two services share the name {service.name!r}",
+                ("services", number),
+            )
+        names.add(service.name)
