Check a configuration before it is sent

An operator learned of a fault only from a front's refusal, and never of entries without effect.

Ruled out: a command of `skylarkcleat.platform`, which starts daemons only; one index over all queues to find hidden ones, quadratic work for the 3,800 queues that a configuration has room for; a warning for every unknown field, which a document of the platform always has.

--- a/src/skylarkcleat/cli/program.py
+++ b/src/skylarkcleat/cli/program.py
@@ -5,6 +5,7 @@
 import typer
 
 from skylarkcleat.cli import account
+from skylarkcleat.cli import config
 from skylarkcleat.cli import daemons
 from skylarkcleat.cli import dev
 from skylarkcleat.cli import members
@@ -34,3 +35,4 @@
 app.add_typer(profile.app, name="profile")
 app.add_typer(replica.app, name="replica")
 app.add_typer(settings.app, name="settings")
+app.add_typer(config.app, name="config")
--- /dev/null
+++ b/src/skylarkcleat/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration document before an operator sends it."""
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -21,6 +21,9 @@
     "best-effort",
     "admission-check",
     "config/put",
+    "config/get",
+    "target-latency-ms",
+    "max-body-bytes",
 )
 
 
