Test that two services of one name are refused

The rule was rewritten to say which service it is, and no test saw it removed: the property test compares the check with a front, and both use the decoder. The new case fails without the rule.

--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -17,6 +17,7 @@
 from tests import test_platform_odd_bodies as odd_bodies
 
 Status = report_lib.Status
+DESKS = [{"name": "desk"}, {"name": "desk", "x": 2}]
 
 
 def check(body, attempt_ms=0):
@@ -124,6 +125,10 @@
         (documents.create_document({"service": "x"}), b'"service": "x"'),
         (documents.create_document(version=0), b'"version": 0'),
         (documents.create_document({}, {"name": "b"}), b'{\n   "name": "b"'),
+        (
+            documents.create_document(services=DESKS),
+            b'{\n   "name": "desk",\n   "x": 2',
+        ),
         (documents.create_document() + b"\n\n!", b"!"),
         (documents.create_document(note="\xe9") + b"\n\xff", b"\xff"),
     ],
