End a check with 3 if it has no result

A fault within `config check`, such as a file name that the output can't encode, ended with Python's 1, which says that there are only warnings. It now prints the traceback and ends with 3.

Ruled out: catching only encoding errors. Automation that sends on 0 and 1 must not take any fault for a result.

Both new cases failed before.

--- a/src/skylarkcleat/cli/config.py
+++ b/src/skylarkcleat/cli/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import traceback
 import typing as t
 
 import typer
@@ -20,7 +21,11 @@
 
 
 class _CheckCommand(core.TyperCommand):
-    """Ends usage errors with 3: the customary 2 says that fronts refuse."""
+    """Ends with 3 whenever there is no result.
+
+    The customary codes, 2 for usage errors and 1 for unforeseen faults, say
+    here that fronts refuse the document, and that it has warnings.
+    """
 
     def parse_args(self, ctx: t.Any, args: list[str]) -> list[str]:
         try:
@@ -30,6 +35,16 @@
                 error.exit_code = report_lib.Status.NOT_CARRIED_OUT
             raise
 
+    def invoke(self, ctx: t.Any) -> t.Any:
+        try:
+            return super().invoke(ctx)
+        except (typer.Exit, typer.Abort):
+            raise
+        except Exception as error:
+            traceback.print_exc()
+            code = report_lib.Status.NOT_CARRIED_OUT
+            raise typer.Exit(code) from error
+
 
 @app.callback()
 def _group() -> None:
--- a/tests/test_config_command.py
+++ b/tests/test_config_command.py
@@ -11,6 +11,7 @@
 from typer import testing
 
 from skylarkcleat.cli import program
+from skylarkcleat.configuration_check import text_output
 from skylarkcleat.platform import configuration_client
 from skylarkcleat.platform import names
 from tests import configuration_documents as documents
@@ -91,6 +92,23 @@
     assert call(*arguments).exit_code == 3
 
 
+# Failure: a fault ended with 1, which says that there are only warnings. The
+# output can't hold the name of the second file.
+@pytest.mark.parametrize(("name", "fault"), [("a", OSError), ("\udcff", None)])
+def test_an_unforeseen_fault_is_no_result(write, monkeypatch, name, fault):
+    path = write(name, documents.create_document())
+    if fault is not None:
+        monkeypatch.setattr(text_output, "list_lines", _raise(fault))
+    assert call(path).exit_code == 3
+
+
+def _raise(fault):
+    def call_in_vain(*arguments):
+        raise fault
+
+    return call_in_vain
+
+
 def test_a_finding_names_file_line_entry_and_field(write):
     path = write("new.json", documents.create_document({"timeout-ms": 9}))
     shown = call(path).stdout
