Split the front process by responsibility

What a message is handed to is now in front/message_receiver.py, replies are in front/reply_handler.py, the resending of open requests is in front/request_resender.py, and the rank and claim delay that follow from the settings are in front/election_settings.py. No behaviour changes.

Ruled out: moving the drain instead, which needs most parts of the process.

--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -14,22 +14,24 @@
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import driver as driver_lib
 from skylarkcleat.discovery import bootstrap_record
-from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import owner_load
 from skylarkcleat.discovery import peer_table as peer_table_lib
-from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import configuration_requests
 from skylarkcleat.front import drain as drain_lib
+from skylarkcleat.front import election_settings
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import evacuation_cache
 from skylarkcleat.front import job_requests as job_requests_lib
 from skylarkcleat.front import load_log
 from skylarkcleat.front import log_bootstrap
 from skylarkcleat.front import log_service as log_service_lib
+from skylarkcleat.front import message_receiver as message_receiver_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import pause as pause_lib
 from skylarkcleat.front import peer_discovery as peer_discovery_lib
+from skylarkcleat.front import reply_handler as reply_handler_lib
+from skylarkcleat.front import request_resender as request_resender_lib
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.front import service as service_lib
 from skylarkcleat.front import targets
@@ -37,23 +39,10 @@
 from skylarkcleat.platform import seed_watch
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import locating
-from skylarkcleat.protocol import owning
 from skylarkcleat.protocol import scheduling
-from skylarkcleat.wire import event as event_lib
 from skylarkcleat.wire import hub as hub_lib
 from skylarkcleat.wire import session as session_lib
 
-BOOTSTRAP_CLAIM_DELAY_S = 1.0
-"""At the very first start all fronts come up within 0.3 s, in any order."""
-
-CLAIM_DELAY_S = 0.2
-"""A front that starts waits for messages of the others before it claims."""
-
-TARGET_POLL_S = 0.02
-TAKE_UP_S = 0.005
-"""How long the owner takes up jobs before it handles other messages: a small
-part of the shortest lease, 0.3 s."""
-
 _DRAIN_POLL_S = 0.05
 
 
@@ -85,15 +74,7 @@
         now = clock_lib.read_monotonic()
         seeds = settings_lib.list_seed_ips(settings)
         self._peers = peer_table_lib.PeerTable(seeds, generator)
-        self._election = election_lib.Election(
-            local,
-            _find_rank(settings),
-            now
-            + (
-                BOOTSTRAP_CLAIM_DELAY_S if settings.bootstrap else CLAIM_DELAY_S
-            ),
-            now,
-        )
+        self._election = election_settings.create_election(settings, local, now)
         self._configuration_cache = configuration_cache_lib.ConfigurationCache(
             store if log is not None else None,
             evacuation_cache.create_evacuation_cache(settings, store, log),
@@ -153,19 +134,45 @@
             self._pauses,
             self._inform_owner,
         )
+        self._reply_handler = reply_handler_lib.ReplyHandler(
+            self._election,
+            self._configuration_cache,
+            self._job_requests,
+            self._log_requests,
+            self._send_any,
+        )
+        self._message_receiver = message_receiver_lib.MessageReceiver(
+            hub,
+            self._election,
+            self._election_task,
+            self._peer_discovery,
+            self._configuration_cache,
+            self._ownership,
+            self._log_service,
+            self._job_requests,
+            self._reply_handler,
+        )
+        self._request_resender = request_resender_lib.RequestResender(
+            self._election,
+            self._peers,
+            self._configuration_cache,
+            self._pauses,
+            self._job_requests,
+            self._log_requests,
+        )
         self._drain: drain_lib.Drain | None = None
         self._background = supervision.BackgroundTasks("leave the log")
 
     def list_tasks(self) -> list[t.Coroutine[t.Any, t.Any, None]]:
         """Returns the coroutines that run as long as the process."""
         tasks = [
-            self._receive_events(),
+            self._message_receiver.run(),
             supervision.keep_running(
                 "discover fronts", self._peer_discovery.run
             ),
             supervision.keep_running("elect an owner", self._election_task.run),
             supervision.keep_running(
-                "send open requests", self._resend_on_target_change
+                "send open requests", self._request_resender.run
             ),
         ]
         if self._log is not None:
@@ -268,7 +275,7 @@
 
     def _send(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         if peer == self._hub.local:
-            self._handle_reply(message)
+            self._reply_handler.handle(message)
         else:
             self._hub.send(peer, message)
 
@@ -280,110 +287,3 @@
         owner = self._election.followed.name
         if owner not in ("", self._hub.local.name):
             self._send_any(owner, message)
-
-    async def _receive_events(self) -> None:
-        while True:
-            if self._ownership.has_intake:
-                # Lets other tasks run and the sockets be read.
-                await asyncio.sleep(0)
-            else:
-                self._contain_event(await self._hub.events.get())
-            while not self._hub.events.empty():
-                self._contain_event(self._hub.events.get_nowait())
-            try:
-                until = clock_lib.read_monotonic() + TAKE_UP_S
-                self._ownership.take_up(until)
-                self._ownership.place_and_send()
-            except Exception as error:
-                supervision.log_unexpected("place tasks", error)
-
-    def _contain_event(self, event: event_lib.Event) -> None:
-        try:
-            self._handle_event(event)
-        except Exception as error:
-            supervision.log_unexpected(
-                "handle a message", error, event.peer.name
-            )
-
-    def _handle_event(self, event: event_lib.Event) -> None:
-        if isinstance(event, event_lib.Lost):
-            self._election_task.forget_sent(event.peer.name)
-            if event.peer.name == self._election.followed.name:
-                self._job_requests.resend()
-            return
-        peer, message = event.peer, event.message
-        if isinstance(message, locating.LocatingMessage):
-            self._handle_locating(peer, message)
-        elif isinstance(message, owning.OwningMessage):
-            self._handle_owning(peer, message)
-        elif isinstance(message, scheduling.Reply):
-            self._handle_reply(message)
-        elif isinstance(message, scheduling.LogMessage):
-            self._log_service.receive(peer, message)
-        elif isinstance(message, scheduling.Submit):
-            self._ownership.defer(peer, message)
-        else:
-            self._ownership.receive(peer, message)
-
-    def _handle_locating(
-        self, peer: session_lib.Endpoint, message: locating.LocatingMessage
-    ) -> None:
-        if isinstance(message, locating.GiveConfiguration):
-            self._configuration_cache.update(content.decode(message.content))
-            return
-        answer = self._peer_discovery.receive(peer.name, message)
-        if answer is not None:
-            self._hub.send(peer, answer)
-
-    def _handle_owning(
-        self, peer: session_lib.Endpoint, message: owning.OwningMessage
-    ) -> None:
-        if not isinstance(message, owning.Resubmit):
-            self._election_task.receive(peer, message)
-        elif message.term == self._election.followed.term:
-            self._job_requests.resend()
-
-    def _handle_reply(self, reply: scheduling.Reply) -> None:
-        if self._configuration_cache.record_version(reply.version):
-            owner = self._election.followed.name
-            version = self._configuration_cache.version
-            self._send_any(owner, locating.FetchConfiguration(version))
-        self._job_requests.handle_reply(reply)
-        self._log_requests.handle_reply(reply)
-
-    async def _resend_on_target_change(self) -> None:
-        """Resends open requests whenever their target changes."""
-        known = locating.OwnerRef()
-        known_log = self._peers.log
-        while True:
-            now = clock_lib.read_monotonic()
-            is_recovering = self._pauses.is_recovering(now)
-            has_owner = self._election.has_live_owner(now)
-            owner = locating.OwnerRef()
-            if (
-                has_owner
-                and not is_recovering
-                and self._configuration_cache.version
-            ):
-                owner = self._election.followed
-            if owner != known:
-                known = owner
-                eliot.log_message(
-                    "front:owner", owner=owner.name, term=owner.term
-                )
-                self._job_requests.resend()
-            if not owner.term and not is_recovering:
-                self._job_requests.give_up_expired()
-            if self._peers.log[:2] != known_log[:2]:
-                known_log = self._peers.log
-                self._log_requests.resend()
-            self._job_requests.send_unsent()
-            self._log_requests.send_unsent()
-            await asyncio.sleep(TARGET_POLL_S)
-
-
-def _find_rank(settings: settings_lib.Settings) -> int:
-    limits = settings.limits
-    cores = limits.cpu_share * limits.cores
-    has_disk = bool(settings.data_dir)
-    return rank_lib.find_rank(has_disk, cores, limits.link_mbps)
--- a/tests/ownership_scenarios.py
+++ b/tests/ownership_scenarios.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from skylarkcleat.front import process as front_process
+from skylarkcleat.front import request_resender
 from tests import ownership_trouble
 from tests import ownership_world as world_lib
 
@@ -106,7 +106,7 @@
         self._stop(first)
         await asyncio.sleep(gap_s)
         self._stop(owner)
-        await asyncio.sleep(front_process.TARGET_POLL_S)
+        await asyncio.sleep(request_resender.TARGET_POLL_S)
         await self._time_job(front)
 
     async def _time_job(self, front: str) -> None:
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -20,6 +20,7 @@
 from skylarkcleat.configuration import store as store_lib
 from skylarkcleat.consensus import codec as consensus_codec
 from skylarkcleat.front import log_service
+from skylarkcleat.front import message_receiver
 from skylarkcleat.front import process as front_process
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.platform import daemon
@@ -257,15 +258,15 @@
 
 
 def test_an_error_in_a_handler_does_not_end_a_front(monkeypatch):
-    front = object.__new__(front_process.FrontProcess)
+    receiver = object.__new__(message_receiver.MessageReceiver)
     handled = []
     monkeypatch.setattr(
-        front, "_handle_event", lambda e: handled.append(e) or _fail()
+        receiver, "_handle_event", lambda e: handled.append(e) or _fail()
     )
-    front._ownership = types.SimpleNamespace(
+    receiver._ownership = types.SimpleNamespace(
         has_intake=False, take_up=_fail, place_and_send=_fail
     )
-    _receive_two(front, handled)
+    _receive_two(receiver, handled, receiver.run)
 
 
 # A front that stopped ended at once, with its callers unanswered.
@@ -290,18 +291,18 @@
     monkeypatch.setattr(
         side, "_receive", lambda *each: handled.append(each) or _fail()
     )
-    _receive_two(side, handled)
+    _receive_two(side, handled, side._receive_events)
 
 
-def _receive_two(process, handled):
+def _receive_two(receiver, handled, receive):
     """Lets a process receive two events; the first must not end its loop."""
 
     async def run():
-        process._hub = types.SimpleNamespace(events=asyncio.Queue())
-        task = asyncio.create_task(process._receive_events())
+        receiver._hub = types.SimpleNamespace(events=asyncio.Queue())
+        task = asyncio.create_task(receive())
         for _ in range(2):
             event = event_lib.Received(SIDE, scheduling.Abandon(1))
-            process._hub.events.put_nowait(event)
+            receiver._hub.events.put_nowait(event)
             await asyncio.sleep(0.01)
         assert not task.done()
         task.cancel()
