Split what a worker derives from its record

scheduling/worker.py had 346 lines: beside the record of a side process it told, for log lines, why the process gets no tasks, and it computed the duration factor of its runner.

The two are functions in scheduling/worker_obstacle.py and scheduling/duration_factor.py now; the record keeps 299 lines. The checks that placement makes for each task (`is_open`, `fits`, `could_run`) and the attributes that it reads stay where they were, without another call. Ruled out: a class of its own for the resources in use, which would put a call into each of those checks.

--- a/src/skylarkcleat/scheduling/worker.py
+++ b/src/skylarkcleat/scheduling/worker.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
-
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import cold_start
+from skylarkcleat.scheduling import duration_factor
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import placed_run
 from skylarkcleat.scheduling import recent_starts
@@ -16,9 +15,6 @@
 from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.wire import session as session_lib
 
-FACTOR_INTERVAL_S = 0.02
-"""The interval at which a runner's duration factor is updated."""
-
 NO_FAULT_REASONS = frozenset(("draining", "room", "silent", "held"))
 """Reasons for a run that didn't start which don't count as failures of its
 runner."""
@@ -27,18 +23,11 @@
 """How long a side process that refused a start for such a reason gets no tasks,
 unless a run there ends earlier: the next start would be refused as well."""
 
-
 REPORT_TIMEOUT_S = 2.0
 """A side process that has not reported this long after it registered has to
 register again. A runner that does not answer is given up after 0.9 s."""
 
 
-_CLOSED_PHASES = {
-    worker_phase.Phase.REPORTING: worker_phase.Closed.REPORTING,
-    worker_phase.Phase.OUTDATED: worker_phase.Closed.OUTDATED,
-}
-
-
 class Worker:
     """One side process under one lease.
 
@@ -59,8 +48,7 @@
         zone: Its availability zone.
         registered_at: When the lease was first granted, in seconds.
         granted_at: When the lease was last granted or renewed, in seconds.
-        open_at: From when on it may be sent tasks, in seconds; infinite until
-            the fronts know it that may take over.
+        open_at: From when on it may be sent tasks, in seconds.
         has_restarted: Whether its runner has started anew since the runs that
             its former lease left.
         paused_until: Until when it gets no tasks, since it refused one for
@@ -186,9 +174,8 @@
         self._last_runner = previous._last_runner
         self.runner = self._runner
         self.unresponsive_since = previous.unresponsive_since
-        self.has_restarted = runner_life.identify(
-            self.runner
-        ) != runner_life.identify(previous.runner)
+        former = runner_life.identify(previous.runner)
+        self.has_restarted = runner_life.identify(self.runner) != former
 
     def must_register_again(self, now: float) -> bool:
         """Returns whether only another registration can open it."""
@@ -217,28 +204,6 @@
             and now >= self.trial_until
         )
 
-    def find_obstacle(self, now: float) -> worker_phase.Closed:
-        """Returns why no tasks may be sent."""
-        if self.phase is not worker_phase.Phase.READY:
-            return _CLOSED_PHASES[self.phase]
-        if self.runner is None:
-            return worker_phase.Closed.NO_RUNNER
-        if self.runner.draining:
-            return worker_phase.Closed.DRAINING
-        if self._zone_obstacle is not worker_phase.Closed.NONE:
-            return self._zone_obstacle
-        if self._unresponsive_since is not None:
-            return worker_phase.Closed.UNRESPONSIVE
-        if now >= self.granted_at + lease.FRONT_LEASE_S:
-            return worker_phase.Closed.LEASE_LATE
-        if now < self.open_at:
-            return worker_phase.Closed.TOO_NEW
-        return (
-            worker_phase.Closed.PAUSED
-            if now < max(self.paused_until, self.trial_until)
-            else worker_phase.Closed.NONE
-        )
-
     def record_refusal(self, reason: str, now: float) -> None:
         """Records that the side process refused a start."""
         if reason in NO_FAULT_REASONS:
@@ -262,21 +227,9 @@
         """Updates `factor` if it may have changed, and when it may next."""
         if now < self.factor_due_at:
             return
-        late_at = [
-            placed_run.find_late_at(run)
-            for run in self.runs.values()
-            if run.expected_s > 0
-        ]
-        next_late_at = min(late_at, default=math.inf)
-        if next_late_at > now:
-            self.factor = self.speed.find_factor(now)
-        else:
-            lateness = placed_run.list_lateness(self.runs.values(), now)
-            self.factor = self.speed.find_current_factor(now, lateness)
-        self.factor *= self._cold_start.find_factor(now)
-        decay_at = self.speed.find_decay_at(now)
-        due_at = min(next_late_at, decay_at, self._cold_start.find_end(now))
-        self.factor_due_at = max(due_at, now + FACTOR_INTERVAL_S)
+        self.factor, self.factor_due_at = duration_factor.measure_factor(
+            self.speed, self._cold_start, self.runs.values(), now
+        )
 
     def fits(self, step: scheduling.Step) -> bool:
         """Returns whether the runner has room for a task of a step."""
--- a/src/skylarkcleat/scheduling/workers.py
+++ b/src/skylarkcleat/scheduling/workers.py
@@ -19,6 +19,7 @@
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
 from skylarkcleat.scheduling import worker_changes as worker_changes_lib
+from skylarkcleat.scheduling import worker_obstacle
 from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.scheduling import zones_in_use
@@ -227,7 +228,10 @@
         """Logs at intervals how many side processes get no tasks, and why."""
         if not self._log.is_due(now):
             return
-        obstacles = [each.find_obstacle(now) for each in self.by_side.values()]
+        obstacles = [
+            worker_obstacle.find_obstacle(each, now)
+            for each in self.by_side.values()
+        ]
         self._log.record(collections.Counter(obstacles), now)
 
     def list_runs(
--- a/tests/test_scheduling_workers_log.py
+++ b/tests/test_scheduling_workers_log.py
@@ -10,6 +10,7 @@
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import speed as speed_lib
 from skylarkcleat.scheduling import worker as worker_lib
+from skylarkcleat.scheduling import worker_obstacle
 from skylarkcleat.scheduling import worker_phase
 from skylarkcleat.scheduling import workers_log
 from skylarkcleat.wire import session as session_lib
@@ -46,7 +47,7 @@
 )
 def test_a_worker_says_why_it_gets_no_tasks(changes, obstacle):
     worker = create_worker(**changes)
-    assert worker.find_obstacle(0.1) is obstacle
+    assert worker_obstacle.find_obstacle(worker, 0.1) is obstacle
     assert worker.is_open(0.1) is (obstacle is CLOSED.NONE)
 
 
