Split the decisions of the election from its bookkeeping

Whether and when to claim is in discovery/owner_search.py now, with its thresholds; the choice of a successor is in discovery/successors.py, the numbering of terms in discovery/term_counter.py and the views of other fronts in discovery/views.py. All of them do no I/O and read no clock, as before.

No behaviour changes. `_is_best_candidate` stays a method of the election, as a test replaces it to see that the checks find two owners. The tests read three thresholds where they are now; their assertions are the same. 96 tests of the election, discovery and the variants of the ownership passed.

--- a/src/skylarkcleat/discovery/election.py
+++ b/src/skylarkcleat/discovery/election.py
@@ -14,56 +14,26 @@
 
 from __future__ import annotations
 
-import zlib
-
 from skylarkcleat.discovery import followers as followers_lib
 from skylarkcleat.discovery import heartbeat_age
+from skylarkcleat.discovery import owner_search
 from skylarkcleat.discovery import rank as rank_lib
 from skylarkcleat.discovery import side_list
+from skylarkcleat.discovery import successors as successors_lib
+from skylarkcleat.discovery import term_counter
+from skylarkcleat.discovery import views as views_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
 from skylarkcleat.wire import session as session_lib
 
-SEARCH_AFTER_S = 0.2
-"""Without a heartbeat for this long, a front searches for an owner: it asks all
-others for their views."""
-
-VIEW_TTL_S = 0.25
-"""How long another front's view counts in the decision to claim."""
-
-MIN_SEARCH_S = 0.15
-"""How long a front searches at least before it claims the ownership, so that
-others have time to reply."""
-
-UNHEARD_SEARCH_S = 0.55
-"""How long a weak front searches at least if no other front replies, though it
-knows a strong one. It hears nobody while a configuration fills its link, for
-0.4 s on 12.5 Mbit/s, and would displace an owner that all others follow. Its
-list of the side processes is still complete then."""
-
-STALL_S = 0.15
-"""After a pause of this length between two ticks a front restarts its search,
-to process the messages that arrived meanwhile first."""
-
-HANDOVER_AFTER_S = 3.0
-"""A front with a better rank takes over once it has followed for this long."""
-
 MAX_CLAIM_DELAY_S = 2.0
 """How much longer than others a late owner that handed over its jobs waits at
 most before it claims them again."""
 
-LATE_SEARCH_S = lease.SIDE_LIST_LEASE_S - SEARCH_AFTER_S
-"""After a search of this length nobody's list of the side processes of the lost
-owner counts as complete any more."""
-
 KEPT_TERMS = 8
 """How many terms of owners that handed over their jobs are kept."""
 
-TERM_STEP = 1_000_000
-"""The distance between successive terms. A suffix below it identifies the front
-that claimed the term, so that two partitioned fronts don't claim the same."""
-
 
 class Election:
     """One front's part in the election of an owner.
@@ -101,21 +71,21 @@
         self.inherited: tuple[int, ...] = ()
         self.side_list = side_list.SideList()
         self._local_name = local.name
-        identity = f"{local.name}/{local.incarnation}".encode()
-        self._term_suffix = zlib.crc32(identity) % TERM_STEP
+        self._terms = term_counter.TermCounter(local)
         self._earliest_claim_at = earliest_claim_at
         self._yields_until = float("-inf")
         self._has_heard = True
-        self._highest_term = 0
-        self._searching_since: float | None = now
-        self._ticked_at = now
-        self._views: dict[str, tuple[locating.View, float]] = {}
+        self._views = views_lib.Views()
+        self._search = owner_search.OwnerSearch(self._views, now)
         self._followers = followers_lib.Followers()
+        self._successors = successors_lib.Successors(
+            self._followers, self._views
+        )
 
     @property
     def is_first(self) -> bool:
         """Whether the followed owner claimed without an earlier known term."""
-        return self.followed.term // TERM_STEP == 1
+        return term_counter.is_first(self.followed.term)
 
     @property
     def is_owner(self) -> bool:
@@ -157,27 +127,22 @@
 
     def is_searching(self, now: float) -> bool:
         """Returns whether to ask all other fronts for an owner."""
-        return not self.is_owner and now - self.last_seen_at >= SEARCH_AFTER_S
+        return (
+            not self.is_owner
+            and now - self.last_seen_at >= owner_search.SEARCH_AFTER_S
+        )
 
     def record_view(self, view: locating.View, now: float) -> None:
         """Records another front's view."""
-        self._views[view.sender.name] = (view, now)
-        self._highest_term = max(self._highest_term, view.owner.term)
+        self._views.record(view, now)
+        self._terms.record(view.owner.term)
 
     def tick(self, now: float) -> bool:
         """Applies timeouts; returns whether this front claims the ownership."""
-        if now - self._ticked_at >= STALL_S:
-            self._searching_since = None
-        self._ticked_at = now
-        if not self.is_searching(now):
-            self._searching_since = None
+        self._search.tick(self.is_searching(now), now)
+        if now < max(self._earliest_claim_at, self._yields_until):
             return False
-        if self._searching_since is None:
-            self._searching_since = now
-        if (
-            now < max(self._earliest_claim_at, self._yields_until)
-            or now - self._searching_since < MIN_SEARCH_S
-        ):
+        if not self._search.has_lasted(owner_search.MIN_SEARCH_S, now):
             return False
         if self.has_live_owner(now) or not self._is_best_candidate(now):
             return False
@@ -202,7 +167,7 @@
         Returns:
             The reply, if this front follows that owner.
         """
-        self._highest_term = max(self._highest_term, heartbeat.term)
+        self._terms.record(heartbeat.term)
         if not self._should_follow(sender, heartbeat, sides, now):
             return None
         self.followed = locating.OwnerRef(sender, heartbeat.term)
@@ -235,7 +200,7 @@
             Whether it did. It refuses a handover from an earlier term than the
             followed one, or while it is about to stop, unless it is an owner.
         """
-        self._highest_term = max(self._highest_term, handover.term)
+        self._terms.record(handover.term)
         is_late = handover.term < self.followed.term
         if not self.is_owner and (
             is_late or self.rank == rank_lib.UNSUITABLE_RANK
@@ -263,20 +228,7 @@
 
     def is_outranked_by(self, name: str) -> bool:
         """Returns whether a front suits better as the owner."""
-        rank = self._find_rank(name)
-        return rank is not None and rank < self.rank
-
-    def _find_rank(self, name: str) -> int | None:
-        """Returns the rank that a front told last; None if it is unknown.
-
-        Views are asked for in searches only, and may be old; but a front that
-        is about to stop sends one at once.
-        """
-        view, viewed_at = self._views.get(name, (None, float("-inf")))
-        told = self._followers.find_rank(name, viewed_at)
-        if told is not None or view is None:
-            return told
-        return view.sender.rank
+        return self._successors.is_outranked(self.rank, name)
 
     def find_successor(self, now: float, is_stopping: bool) -> str:
         """Returns the front that should replace this one as the owner.
@@ -289,51 +241,23 @@
         Returns:
             Its name; empty if this front should stay the owner.
         """
-        candidates = [
-            (self._find_rank(name), name)
-            for name, follower in self._followers.list_responsive(now)
-            if (is_stopping or now - follower.since >= HANDOVER_AFTER_S)
-            and name in self._views
-        ]
-        best = min(candidates, default=None)
-        if best is None or best[0] == rank_lib.UNSUITABLE_RANK:
-            return ""
-        return best[1] if is_stopping or best[0] < self.rank else ""
+        return self._successors.find(self.rank, now, is_stopping)
 
     def _claim(self, now: float) -> None:
-        number = self._highest_term // TERM_STEP + 1
-        term = number * TERM_STEP + self._term_suffix
-        self.followed = locating.OwnerRef(self._local_name, term)
+        self.followed = locating.OwnerRef(
+            self._local_name, self._terms.create()
+        )
         self.inherited = ()
         self.last_seen_at = now
         self.heartbeat_at = 0.0
-        self._highest_term = term
         self._followers.clear()
 
     def _is_best_candidate(self, now: float) -> bool:
-        recent = [
-            view for view, at in self._views.values() if now - at < VIEW_TTL_S
-        ]
-        timeout_ms = lease.OWNER_TIMEOUT_S * 1000
-        if any(0 <= v.owner_last_seen_ms < timeout_ms for v in recent):
-            return False
-        if not recent and self._may_be_unheard(now):
-            return False
         mine = rank_lib.Candidate(
             self.find_shown_rank(now), self._local_name, self.followed.term
         )
-        return mine.may_claim(recent, self._is_search_late(now))
-
-    def _may_be_unheard(self, now: float) -> bool:
-        """Returns whether its own link may be why a weak front hears nobody."""
-        since = self._searching_since
-        if since is None or now - since >= UNHEARD_SEARCH_S:
-            return False
-        return rank_lib.is_weak(self.rank) and any(
-            name != self.followed.name
-            and not rank_lib.is_weak(view.sender.rank)
-            for name, (view, _) in self._views.items()
-        )
+        is_weak = rank_lib.is_weak(self.rank)
+        return self._search.may_claim(mine, is_weak, self.followed.name, now)
 
     def _lacks_list(self, now: float) -> bool:
         """Returns whether others may know the lost owner's sides better.
@@ -341,21 +265,16 @@
         Its own list is out of date, for instance since this front stood still;
         that of another one that followed the same owner may be complete.
         """
-        is_missed = self._find_age_s(now) >= SEARCH_AFTER_S
+        is_missed = self._find_age_s(now) >= owner_search.SEARCH_AFTER_S
         if self.is_owner or not self.followed.term or not is_missed:
             return False
         is_complete = self.side_list.is_complete(self.followed.term, now)
-        return not is_complete and not self._is_search_late(now)
+        return not is_complete and not self._search.is_late(now)
 
     def _find_age_s(self, now: float) -> float:
         """Returns how old the owner's last sign of life is, in seconds."""
         return now - self.last_seen_at + self._waited_s
 
-    def _is_search_late(self, now: float) -> bool:
-        """Returns whether nobody's list counts as complete any more."""
-        since = self._searching_since
-        return since is not None and now - since >= LATE_SEARCH_S
-
     def _should_follow(
         self,
         sender: str,
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -4,7 +4,9 @@
 
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.discovery import heartbeat_age
+from skylarkcleat.discovery import owner_search
 from skylarkcleat.discovery import rank as rank_lib
+from skylarkcleat.discovery import successors
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
 from skylarkcleat.scheduling import lease
@@ -15,7 +17,7 @@
     me = session_lib.Endpoint(name, incarnation)
     election = election_lib.Election(me, 0, 0.0, 0.0)
     assert not election.tick(0.1)
-    assert election.tick(election_lib.MIN_SEARCH_S)
+    assert election.tick(owner_search.MIN_SEARCH_S)
     return election
 
 
@@ -70,7 +72,7 @@
     election.record_view(view, 1.0)
     delay_s = 2 * lease.FRONT_LEASE_S
     now = 1.0
-    while now < 1.0 + 2 * election_lib.HANDOVER_AFTER_S:
+    while now < 1.0 + 2 * successors.HANDOVER_AFTER_S:
         now += lease.HEARTBEAT_INTERVAL_S
         term = election.followed.term
         reply = owning.OwnerHeartbeatReply(term, now - delay_s)
@@ -153,7 +155,7 @@
         reply = owning.OwnerHeartbeatReply(election.followed.term, sent_at)
         election.handle_heartbeat_reply("front-1", reply, back_at + delay_s)
         sent_at += lease.HEARTBEAT_INTERVAL_S
-    end = back_at + election_lib.HANDOVER_AFTER_S
+    end = back_at + successors.HANDOVER_AFTER_S
     now = _reply(election, ["front-1"], delay_s, back_at, end - 0.1)
     assert not election.find_successor(now, False)
     now = _reply(election, ["front-1"], delay_s, end - 0.1, end + 0.2)
@@ -277,14 +279,14 @@
     election = _start("front-1", STRONG, TERM)
     started = _describe("front-0", rank, 0)
     claimed_at = _tick_beside(election, started, 1.0, 1.0)
-    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S
+    assert claimed_at - 1.0 < owner_search.LATE_SEARCH_S
 
 
 @pytest.mark.parametrize("rank", [STRONG - 1, STRONG, STRONG + 1, DISKLESS])
 def test_a_front_that_has_just_started_leaves_the_jobs_to_others(rank):
     election = _start("front-0", rank, 0)
     follower = _describe("front-1", STRONG, TERM)
-    assert not _tick_beside(election, follower, 1.0, election_lib.LATE_SEARCH_S)
+    assert not _tick_beside(election, follower, 1.0, owner_search.LATE_SEARCH_S)
 
 
 # A front of an earlier version goes by the rank only, and waits for the other.
@@ -292,7 +294,7 @@
     election = _start("front-0", STRONG, 0)
     follower = _describe("front-1", STRONG, TERM)
     claimed_at = _tick_beside(election, follower, 1.0, 2.0)
-    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S + 0.1
+    assert claimed_at - 1.0 < owner_search.LATE_SEARCH_S + 0.1
 
 
 def test_a_weak_front_waits_for_a_stronger_one_that_has_just_started():
@@ -301,13 +303,13 @@
     assert not _tick_beside(election, started, 1.0, 2.0)
     election = _start("front-0", STRONG, 0)
     weak = _describe("front-1", WEAK, TERM)
-    assert _tick_beside(election, weak, 1.0, election_lib.LATE_SEARCH_S)
+    assert _tick_beside(election, weak, 1.0, owner_search.LATE_SEARCH_S)
 
 
 def test_a_front_never_waits_for_one_that_stops_whatever_that_knows():
     election = _start("front-1", WEAK, 0)
     stopping = _describe("front-0", rank_lib.UNSUITABLE_RANK, TERM)
-    assert _tick_beside(election, stopping, 1.0, election_lib.LATE_SEARCH_S)
+    assert _tick_beside(election, stopping, 1.0, owner_search.LATE_SEARCH_S)
 
 
 def test_the_rank_decides_among_fronts_that_followed_the_same_owner():
@@ -372,17 +374,17 @@
     assert informed.find_shown_rank(1.3) == STRONG + 1
     view = _describe("front-1", shown, TERM)
     claimed_at = _tick_beside(informed, view, 1.0, 1.0)
-    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S
+    assert claimed_at - 1.0 < owner_search.LATE_SEARCH_S
     outdated = _start("front-1", STRONG, TERM)
     view = _describe("front-2", STRONG + 1, TERM)
-    assert not _tick_beside(outdated, view, 1.0, election_lib.LATE_SEARCH_S)
+    assert not _tick_beside(outdated, view, 1.0, owner_search.LATE_SEARCH_S)
 
 
 def test_fronts_whose_lists_are_out_of_date_claim_in_their_usual_order():
     view = _describe("front-1", STRONG + rank_lib.OUTDATED_OFFSET, TERM)
     better = _start("front-2", STRONG - 1, TERM)
     claimed_at = _tick_beside(better, view, 1.0, 1.0)
-    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S
+    assert claimed_at - 1.0 < owner_search.LATE_SEARCH_S
     # Nor does it once its search is late, and the view is of a moment before.
     worse = _start("front-2", STRONG + 1, TERM)
     assert not _tick_beside(worse, view, 1.0, 2.0)
@@ -392,7 +394,7 @@
     strong = _start("front-2", STRONG, TERM)
     weak = _describe("front-1", WEAK, TERM)
     claimed_at = _tick_beside(strong, weak, 1.0, 1.0)
-    assert claimed_at - 1.0 < election_lib.LATE_SEARCH_S
+    assert claimed_at - 1.0 < owner_search.LATE_SEARCH_S
 
 
 def test_a_late_search_shows_the_plain_rank():
--- a/tests/test_election_task.py
+++ b/tests/test_election_task.py
@@ -13,6 +13,7 @@
 from skylarkcleat.discovery import owner_load
 from skylarkcleat.discovery import peer_table as peer_table_lib
 from skylarkcleat.discovery import rank as rank_lib
+from skylarkcleat.discovery import successors
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import election_task as election_task_lib
 from skylarkcleat.front import load_log
@@ -100,7 +101,7 @@
     stall_s = 2 * lease.FRONT_LEASE_S
     now = 0.0
     monkeypatch.setattr(clock_lib, "read_monotonic", lambda: now)
-    while now < election_lib.HANDOVER_AFTER_S + 2 * stall_s:
+    while now < successors.HANDOVER_AFTER_S + 2 * stall_s:
         now += stall_s
         task.receive(FOLLOWER, owning.OwnerHeartbeatReply(TERM, now - stall_s))
     handover = owning.Handover(TERM, (), ("side-1",))
