Split the forwarding of requests by responsibility

The abstract target and the data of one attempt are in front/target.py now, next to the targets that implement it, and the state of one request is in front/open_request.py, with its attributes described.

--- a/src/skylarkcleat/front/configuration_requests.py
+++ b/src/skylarkcleat/front/configuration_requests.py
@@ -4,6 +4,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.front import requests as requests_lib
+from skylarkcleat.front import target as target_lib
 from skylarkcleat.protocol import scheduling
 
 OPERATOR_TIMEOUT_S = 0.9
@@ -19,7 +20,7 @@
     except content.ContentError as error:
         return scheduling.Reply(0, scheduling.Verdict.INVALID, str(error))
 
-    def build(attempt: requests_lib.SendAttempt) -> scheduling.PutConfiguration:
+    def build(attempt: target_lib.SendAttempt) -> scheduling.PutConfiguration:
         return scheduling.PutConfiguration(
             attempt.number, configuration.version, data
         )
@@ -33,7 +34,7 @@
     """Returns the newest configuration; None if that is not certain."""
 
     def build(
-        attempt: requests_lib.SendAttempt,
+        attempt: target_lib.SendAttempt,
     ) -> scheduling.ReadConfiguration:
         return scheduling.ReadConfiguration(attempt.number)
 
@@ -44,7 +45,7 @@
 
 
 async def _call(
-    requests: requests_lib.Requests, build: requests_lib.BuildMessage
+    requests: requests_lib.Requests, build: target_lib.BuildMessage
 ) -> scheduling.Reply:
     timeout_s = OPERATOR_TIMEOUT_S
     return await requests.call(build, timeout_s, timeout_s, timeout_s)
--- a/src/skylarkcleat/front/job_requests.py
+++ b/src/skylarkcleat/front/job_requests.py
@@ -6,6 +6,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.front import requests as requests_lib
+from skylarkcleat.front import target as target_lib
 from skylarkcleat.protocol import scheduling
 
 SUBMIT_MARGIN_S = 0.05
@@ -36,7 +37,7 @@
     """Submits a job and returns a reply once it has ended or is refused."""
     match: content.Match | None = None
 
-    def build(attempt: requests_lib.SendAttempt) -> scheduling.Submit:
+    def build(attempt: target_lib.SendAttempt) -> scheduling.Submit:
         nonlocal match
         if not attempt.previous_term:
             match = find_queue(host, path)
@@ -77,7 +78,7 @@
 ) -> scheduling.Reply:
     """Returns the state of a job or a queue."""
 
-    def build(attempt: requests_lib.SendAttempt) -> scheduling.JobRequest:
+    def build(attempt: target_lib.SendAttempt) -> scheduling.JobRequest:
         return scheduling.JobRequest(
             attempt.number, host, path, job, cancel, attempt.term
         )
--- a/src/skylarkcleat/front/requests.py
+++ b/src/skylarkcleat/front/requests.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import abc
 import asyncio
 import itertools
 import typing as t
@@ -16,120 +15,14 @@
 from skylarkcleat import clock as clock_lib
 from skylarkcleat import supervision
 from skylarkcleat.front import obstacle as obstacle_lib
+from skylarkcleat.front import open_request
+from skylarkcleat.front import target as target_lib
 from skylarkcleat.protocol import scheduling
 
 _STOPPING = "this front is stopping"
 _UNSENDABLE = "the request can't be sent on"
 
 
-class LastHeartbeat(t.NamedTuple):
-    """The last heartbeat of a target, from which it tells a request's age.
-
-    Attributes:
-        sent_at: The target's clock as it sent it, in seconds; 0 without one.
-        age_s: How long ago it was handled here, in seconds.
-    """
-
-    sent_at: float = 0.0
-    age_s: float = 0.0
-
-
-class SendAttempt(t.NamedTuple):
-    """One attempt to send a request to its target.
-
-    Attributes:
-        number: The front's number for the request.
-        age_s: The age of the request, in seconds.
-        term: The target's term.
-        previous_term: The term of the target that it was last sent to, other
-            than this one if there is one; 0 if it was not sent yet.
-        expires_in_s: Seconds until nothing of it can run under that term.
-        earlier_expires_in_s: The same for the terms before that one.
-        heartbeat: The target's last heartbeat.
-    """
-
-    number: int
-    age_s: float
-    term: int
-    previous_term: int
-    expires_in_s: float
-    earlier_expires_in_s: float
-    heartbeat: LastHeartbeat
-
-
-BuildMessage = t.Callable[[SendAttempt], t.NamedTuple]
-"""Creates the message of a request for one attempt."""
-
-
-class Target(abc.ABC):
-    """The front that answers: the owner of all jobs or the log's leader.
-
-    Attributes:
-        retries_refusals: Whether a request that the target refuses, since it
-            is not the target in its own view yet, is sent to it again.
-    """
-
-    retries_refusals = False
-
-    @abc.abstractmethod
-    def find_term(self) -> int:
-        """Returns the current target's term; 0 if none is reachable."""
-
-    @abc.abstractmethod
-    def find_obstacle(self) -> obstacle_lib.Obstacle:
-        """Returns why no target is reachable."""
-
-    @abc.abstractmethod
-    def find_expiry_s(self, previous_term: int) -> float:
-        """Returns the seconds until no run of a previous target is left."""
-
-    def find_heartbeat(self) -> LastHeartbeat:
-        """Returns the target's last heartbeat; none by default."""
-        return LastHeartbeat()
-
-    @abc.abstractmethod
-    def send(self, message: t.NamedTuple) -> None:
-        """Sends a message to the current target."""
-
-
-class _OpenRequest:
-    """A request that waits for its reply."""
-
-    def __init__(
-        self, build: BuildMessage, job: str, now: float, give_up_at: float
-    ) -> None:
-        self.build = build
-        self.job = job
-        self.received_at = now
-        self.give_up_at = give_up_at
-        self.sent_term = 0
-        self.previous_term = 0
-        self.earlier_terms: frozenset[int] = frozenset()
-        self.was_resent = False
-        self.is_answered = False
-        self.reply: asyncio.Future[scheduling.Reply]
-        self.reply = asyncio.get_running_loop().create_future()
-        self.sent: asyncio.Future[None]
-        self.sent = asyncio.get_running_loop().create_future()
-
-    def list_former_terms(self, term: int) -> tuple[int, frozenset[int]]:
-        """Returns the terms in which it was sent before, other than one.
-
-        Returns:
-            The last of them, 0 if there is none, and all before that.
-        """
-        if self.sent_term in (0, term):
-            return self.previous_term, self.earlier_terms
-        earlier = (self.earlier_terms | {self.previous_term}) - {0}
-        return self.sent_term, earlier
-
-    def record_sent(self, term: int) -> None:
-        """Records that it was sent to the target in a term."""
-        former = self.list_former_terms(term)
-        self.previous_term, self.earlier_terms = former
-        self.sent_term = term
-
-
 class Requests:
     """Sends requests to their target and resends them when it changes.
 
@@ -138,10 +31,12 @@
         numbers: Yields the requests' numbers.
     """
 
-    def __init__(self, target: Target, numbers: t.Iterator[int]) -> None:
+    def __init__(
+        self, target: target_lib.Target, numbers: t.Iterator[int]
+    ) -> None:
         self._target = target
         self._numbers = numbers
-        self._open: dict[int, _OpenRequest] = {}
+        self._open: dict[int, open_request.OpenRequest] = {}
         self._unsent: set[int] = set()
         self._is_closed = False
 
@@ -151,7 +46,7 @@
 
     async def call(
         self,
-        build: BuildMessage,
+        build: target_lib.BuildMessage,
         timeout_s: float,
         unsent_timeout_s: float,
         give_up_after_s: float,
@@ -173,7 +68,9 @@
         """
         number = next(self._numbers)
         now = clock_lib.read_monotonic()
-        request = _OpenRequest(build, job, now, now + give_up_after_s)
+        request = open_request.OpenRequest(
+            build, job, now, now + give_up_after_s
+        )
         if self._is_closed:
             verdict = scheduling.Verdict.NOT_RUN
             return self._refuse(number, request, verdict, _STOPPING)
@@ -192,7 +89,10 @@
         return reply or self._describe_timeout(number, request)
 
     async def _wait(
-        self, request: _OpenRequest, timeout_s: float, unsent_timeout_s: float
+        self,
+        request: open_request.OpenRequest,
+        timeout_s: float,
+        unsent_timeout_s: float,
     ) -> scheduling.Reply | None:
         """Returns the reply; None if it does not come in time."""
         if not request.sent_term:
@@ -205,7 +105,7 @@
             await asyncio.wait([request.reply], timeout=timeout_s)
         return request.reply.result() if request.reply.done() else None
 
-    def _abandon(self, number: int, request: _OpenRequest) -> None:
+    def _abandon(self, number: int, request: open_request.OpenRequest) -> None:
         """Notifies the target that the caller gave up, unless it replied."""
         if request.sent_term and not request.is_answered:
             self._target.send(scheduling.Abandon(number))
@@ -221,7 +121,7 @@
             return
         # After a resend the reply may come from the previous target.
         request.is_answered = not request.was_resent
-        if request.was_resent and _says_not_run(request, reply.verdict):
+        if request.was_resent and request.is_refused_by(reply.verdict):
             # A previous owner may refuse after its successor started the job.
             self._end(reply.request, request, reply.detail)
         else:
@@ -264,7 +164,7 @@
         for number, request in waiting[: max(0, count - replied)]:
             self._end(number, request, _STOPPING)
 
-    def _list_waiting(self) -> list[tuple[int, _OpenRequest]]:
+    def _list_waiting(self) -> list[tuple[int, open_request.OpenRequest]]:
         """Returns the open requests that have no reply yet, by number."""
         return [
             (number, request)
@@ -272,7 +172,9 @@
             if not request.reply.done()
         ]
 
-    def _end(self, number: int, request: _OpenRequest, detail: str) -> None:
+    def _end(
+        self, number: int, request: open_request.OpenRequest, detail: str
+    ) -> None:
         """Answers a request; it may have run if it was sent."""
         verdict = scheduling.Verdict.NOT_RUN
         if request.sent_term:
@@ -281,7 +183,7 @@
         request.reply.set_result(reply)
 
     def _describe_timeout(
-        self, number: int, request: _OpenRequest
+        self, number: int, request: open_request.OpenRequest
     ) -> scheduling.Reply:
         if request.sent_term:
             verdict = scheduling.Verdict.UNCERTAIN
@@ -294,7 +196,7 @@
     def _refuse(
         self,
         number: int,
-        request: _OpenRequest,
+        request: open_request.OpenRequest,
         verdict: scheduling.Verdict,
         detail: str,
     ) -> scheduling.Reply:
@@ -309,7 +211,7 @@
         )
         return scheduling.Reply(number, verdict, detail)
 
-    def _forward(self, number: int, request: _OpenRequest) -> None:
+    def _forward(self, number: int, request: open_request.OpenRequest) -> None:
         """Sends a request; one that can't be sent is ended by itself."""
         try:
             self._try_forward(number, request)
@@ -319,7 +221,9 @@
             if not request.reply.done():
                 self._end(number, request, _UNSENDABLE)
 
-    def _try_forward(self, number: int, request: _OpenRequest) -> None:
+    def _try_forward(
+        self, number: int, request: open_request.OpenRequest
+    ) -> None:
         term = self._target.find_term()
         if not term or request.reply.done():
             return
@@ -328,7 +232,7 @@
         former_term, earlier_terms = request.list_former_terms(term)
         previous_term = former_term or (term if was_sent else 0)
         expiries = [self._target.find_expiry_s(old) for old in earlier_terms]
-        attempt = SendAttempt(
+        attempt = target_lib.SendAttempt(
             number,
             clock_lib.read_monotonic() - request.received_at,
             term,
@@ -345,13 +249,6 @@
             request.sent.set_result(None)
 
 
-def _says_not_run(request: _OpenRequest, verdict: scheduling.Verdict) -> bool:
-    """Returns whether a verdict tells a caller that its job has not run."""
-    is_unknown_queue = verdict is scheduling.Verdict.UNKNOWN_QUEUE
-    is_refused_job = is_unknown_queue and bool(request.job)
-    return is_refused_job or verdict is scheduling.Verdict.NOT_RUN
-
-
 def create_numbers() -> t.Iterator[int]:
     """Returns numbers that all requests of one process share."""
     return itertools.count(1)
--- a/src/skylarkcleat/front/targets.py
+++ b/src/skylarkcleat/front/targets.py
@@ -14,12 +14,12 @@
 from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.front import pause as pause_lib
-from skylarkcleat.front import requests as requests_lib
+from skylarkcleat.front import target as target_lib
 from skylarkcleat.protocol import locating
 from skylarkcleat.wire import session as session_lib
 
 
-class OwnerTarget(requests_lib.Target):
+class OwnerTarget(target_lib.Target):
     """The front that owns the jobs."""
 
     def __init__(
@@ -67,12 +67,12 @@
         """Returns the seconds until no run of a previous owner is left."""
         return self._election_task.find_expiry_s(previous_term)
 
-    def find_heartbeat(self) -> requests_lib.LastHeartbeat:
+    def find_heartbeat(self) -> target_lib.LastHeartbeat:
         """Returns the owner's last heartbeat; none if it is this front."""
         if not self._election.heartbeat_at:
-            return requests_lib.LastHeartbeat()
+            return target_lib.LastHeartbeat()
         age_s = clock_lib.read_monotonic() - self._election.last_seen_at
-        return requests_lib.LastHeartbeat(self._election.heartbeat_at, age_s)
+        return target_lib.LastHeartbeat(self._election.heartbeat_at, age_s)
 
     def send(self, message: t.NamedTuple) -> None:
         """Sends a message to the owner, preceded by a newer configuration."""
@@ -90,7 +90,7 @@
         self._send(owner, message)
 
 
-class LogTarget(requests_lib.Target):
+class LogTarget(target_lib.Target):
     """The front that leads the log.
 
     A new leader takes requests once an entry of its own term is committed.
--- a/tests/test_front_requests.py
+++ b/tests/test_front_requests.py
@@ -6,10 +6,11 @@
 
 from skylarkcleat.front import obstacle as obstacle_lib
 from skylarkcleat.front import requests as requests_lib
+from skylarkcleat.front import target as target_lib
 from skylarkcleat.protocol import scheduling
 
 
-class FakeOwner(requests_lib.Target):
+class FakeOwner(target_lib.Target):
     """Records the messages that a front sends to the owner of a term."""
 
     def __init__(self):
