Split the links of a hub from the hub

The sessions that peers open were kept by the acceptor; those that the process opens itself were kept by the hub among its own work of sending, flushing and timing.

wire/connector.py keeps the latter now, with the same methods as the acceptor, and the hub chooses between the two. A message on a session that this process opened costs one call more, as on one that the acceptor has. No behaviour changes; no test did. 63 tests of the hub, sessions, receivers, the codec and reports of operators passed.

--- a/src/skylarkcleat/wire/hub.py
+++ b/src/skylarkcleat/wire/hub.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import collections.abc
-import secrets
 import typing as t
 
 import zmq
@@ -15,15 +14,14 @@
 from skylarkcleat import supervision
 from skylarkcleat.wire import acceptor as acceptor_lib
 from skylarkcleat.wire import codec as codec_lib
+from skylarkcleat.wire import connector as connector_lib
 from skylarkcleat.wire import frame as frame_lib
 from skylarkcleat.wire import inbox as inbox_lib
-from skylarkcleat.wire import link as link_lib
 from skylarkcleat.wire import session as session_lib
 from skylarkcleat.wire import stamper as stamper_lib
 
 TICK_S = 0.05
 MAX_HEARTBEATS_PER_S = 200
-_SESSION_BITS = 48
 
 
 class Hub:
@@ -58,10 +56,12 @@
         self._codec = codec
         self._stamper = stamper
         self._inbox = inbox_lib.Inbox(codec, stamper, mailbox)
-        self._links: dict[str, link_lib.Link] = {}
         self._dirty: set[tuple[str, bool]] = set()
         self._flush_scheduled = False
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._connector = connector_lib.Connector(
+            self._context, local, self._inbox, stamper
+        )
         self._acceptor: acceptor_lib.Acceptor | None = None
         if bind:
             self._acceptor = acceptor_lib.Acceptor(
@@ -85,8 +85,7 @@
         self._flush()
         await asyncio.sleep(TICK_S)
         self._task.cancel()
-        for link in self._links.values():
-            link.close()
+        self._connector.close()
         if self._acceptor is not None:
             await self._acceptor.__aexit__(*details)
         self._context.destroy(linger=0)
@@ -103,23 +102,15 @@
             peer: The peer; an incarnation of 0 means whichever answers.
             address: The peer's `tcp://ip:port`.
         """
-        link = self._links.get(peer.name)
-        if link is not None:
-            if (link.session.remote, link.address) == (peer, address):
-                return
-            self._end_link(link, "replaced by a newer incarnation")
-        self._open_link(peer, address)
+        self._connector.connect(peer, address)
 
     def disconnect(self, name: str) -> None:
         """Closes the connection to a peer, without a `Lost` event."""
-        link = self._links.pop(name, None)
-        if link is not None:
-            link.close()
+        self._connector.disconnect(name)
 
     def disconnect_others(self, name: str) -> None:
         """Closes every connection that this process opened, except one."""
-        for other in [each for each in self._links if each != name]:
-            self.disconnect(other)
+        self._connector.disconnect_others(name)
 
     def has_session(self, peer: session_lib.Endpoint) -> bool:
         """Returns whether messages for an incarnation can be queued."""
@@ -128,10 +119,10 @@
 
     def count_backlog(self) -> int:
         """Returns the number of messages not yet acknowledged by peers."""
-        links = sum(link.session.backlog for link in self._links.values())
+        backlog = self._connector.count_backlog()
         if self._acceptor is None:
-            return links
-        return links + self._acceptor.count_backlog()
+            return backlog
+        return backlog + self._acceptor.count_backlog()
 
     def send(
         self, peer: session_lib.Endpoint, message: codec_lib.Message
@@ -163,9 +154,11 @@
         Returns:
             None, or why the message was not queued: it will not arrive.
         """
-        if name not in self._links:
-            self.connect(session_lib.Endpoint(name, 0), address)
-        return self._push(self._links[name].session, message, True)
+        session = self._connector.find_session(name)
+        if session is None:
+            peer = session_lib.Endpoint(name, 0)
+            session = self._connector.connect(peer, address)
+        return self._push(session, message, True)
 
     def _push(
         self,
@@ -184,11 +177,8 @@
     def _get_session(
         self, name: str, is_link: bool
     ) -> session_lib.Session | None:
-        if not is_link:
-            acceptor = self._acceptor
-            return acceptor.find_session(name) if acceptor else None
-        link = self._links.get(name)
-        return link.session if link is not None else None
+        ends = self._connector if is_link else self._acceptor
+        return ends.find_session(name) if ends is not None else None
 
     def _find_session(self, name: str) -> session_lib.Session | None:
         found = self._get_session(name, True)
@@ -218,47 +208,10 @@
     ) -> None:
         self.frames_sent += len(frames)
         if is_link:
-            self._links[name].write(frames)
+            self._connector.write(name, frames)
         elif self._acceptor is not None:
             self._acceptor.write(name, frames)
 
-    def _open_link(self, peer: session_lib.Endpoint, address: str) -> None:
-        session = session_lib.Session(
-            self.local,
-            peer,
-            secrets.randbits(_SESSION_BITS),
-            clock_lib.read_monotonic(),
-        )
-        link = link_lib.Link(
-            self._context, address, session, self._on_link_frame
-        )
-        self._links[peer.name] = link
-        link.write(session.maintain(session.last_seen_at, self._stamper.read()))
-
-    def _end_link(self, link: link_lib.Link, detail: str) -> None:
-        link.close()
-        self._links.pop(link.session.remote.name, None)
-        self._inbox.report_lost(link.session.remote, detail)
-
-    def _on_link_frame(self, link: link_lib.Link, data: bytes) -> None:
-        frame = self._inbox.decode(data)
-        if frame is None or self._links.get(frame.sender) is not link:
-            return
-        session = link.session
-        if not session.remote.incarnation:
-            session.remote = session_lib.Endpoint(
-                frame.sender, frame.incarnation
-            )
-        if frame.incarnation != session.remote.incarnation:
-            self._end_link(link, "the peer started again")
-        elif (
-            frame.session == session.number
-            and frame.sequence == frame_lib.RESET
-        ):
-            self._end_link(link, "the peer has no record of the session")
-        elif frame.session == session.number:
-            self._inbox.deliver(session, frame)
-
     async def _tick(self) -> None:
         ticked_at = clock_lib.read_monotonic()
         lag = loop_lag.LagMeter(ticked_at)
@@ -274,7 +227,7 @@
 
     def _maintain(self, now: float) -> None:
         heartbeat_s = self._find_heartbeat_s()
-        self._maintain_links(now, heartbeat_s)
+        self._connector.maintain(now, heartbeat_s)
         if self._acceptor is not None:
             self._acceptor.maintain(now, heartbeat_s)
 
@@ -284,25 +237,12 @@
         It grows with the number of sessions, so that the process sends at
         most `MAX_HEARTBEATS_PER_S`.
         """
-        sessions = len(self._links)
+        sessions = len(self._connector)
         if self._acceptor is not None:
             sessions += len(self._acceptor)
         spread_s = sessions / MAX_HEARTBEATS_PER_S
         return max(session_lib.HEARTBEAT_INTERVAL_S, spread_s)
 
-    def _maintain_links(self, now: float, heartbeat_s: float) -> None:
-        for link in list(self._links.values()):
-            session = link.session
-            if session.due_at > now:
-                continue
-            session.heartbeat_s = heartbeat_s
-            if session.is_lost(now):
-                self._end_link(link, "the peer was unresponsive for too long")
-                continue
-            stamp = self._stamper.read()
-            link.reconnect_if_unresponsive(now, stamp)
-            link.write(session.maintain(now, stamp))
-
 
 def create_hub(
     local: session_lib.Endpoint,
