Split the reports of side processes from their leases

Of the possible cuts this one changes the fewest uses: orders are used in about 150 places, reports in about 60.

Messages are sent under the names of their classes, which are the same, so that processes of both versions understand each other; tests/test_codec.py covers the names. `SideMessage`, which held all of them, is `LeaseMessage` now.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -12,6 +12,7 @@
 from skylarkcleat.front import submission_intake
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import owning
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
@@ -285,7 +286,7 @@
                 owner.abandon(peer, message.request)
         elif isinstance(message, leasing.Renew):
             owner.renew(peer, message, now)
-        elif isinstance(message, leasing.SideReport):
+        elif isinstance(message, reporting.SideReport):
             owner.handle_side_report(peer.name, message, now)
 
     def _reply(
--- a/src/skylarkcleat/platform/daemon.py
+++ b/src/skylarkcleat/platform/daemon.py
@@ -19,6 +19,7 @@
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.wire import hub as hub_lib
 from skylarkcleat.wire import session as session_lib
@@ -28,7 +29,8 @@
     *t.get_args(locating.LocatingMessage),
     *t.get_args(owning.OwningMessage),
     *t.get_args(scheduling.FrontMessage),
-    *t.get_args(leasing.SideMessage),
+    *t.get_args(leasing.LeaseMessage),
+    *t.get_args(reporting.SideReport),
 )
 
 Serve = t.Callable[
--- a/src/skylarkcleat/protocol/leasing.py
+++ b/src/skylarkcleat/protocol/leasing.py
@@ -114,20 +114,6 @@
     ending: Ending
 
 
-class Report(t.NamedTuple):
-    """Everything that a runner runs, once it refuses all earlier epochs.
-
-    Attributes:
-        epoch: The lease that it is sent under.
-        running: The runs in progress.
-        ends: The ends that the owner has not acknowledged.
-    """
-
-    epoch: int
-    running: tuple[Run, ...]
-    ends: tuple[End, ...]
-
-
 class Renew(t.NamedTuple):
     """Asks the owner to renew a lease.
 
@@ -236,29 +222,6 @@
     run: int
 
 
-class NotStarted(t.NamedTuple):
-    """Reports that an ordered run has not started and never will.
-
-    Attributes:
-        epoch: The lease.
-        task: The task's name.
-        run: The number of the run.
-        reason: The reason, for a log line.
-    """
-
-    epoch: int
-    task: str
-    run: int
-    reason: str
-
-
-class Ended(t.NamedTuple):
-    """Reports runs that ended."""
-
-    epoch: int
-    ends: tuple[End, ...]
-
-
 @codec.sent_as("Noted")
 class EndsAcknowledged(t.NamedTuple):
     """Acknowledges all ends up to a number."""
@@ -267,41 +230,7 @@
     number: int
 
 
-@codec.sent_as("RunnerSilent")
-class RunnerUnresponsive(t.NamedTuple):
-    """Reports that a runner has become unresponsive, or answers again.
-
-    Attributes:
-        epoch: The lease.
-        is_unresponsive: Whether it does not answer; its runs may continue.
-    """
-
-    epoch: int
-    is_unresponsive: bool
-
-
-UNANSWERED = "unanswered"
-"""The reason of `NotStarted` for a run whose start got no answer and whose
-runner was lost."""
-
-
-class RunnerLost(t.NamedTuple):
-    """Reports an unresponsive runner all of whose runs have expired.
-
-    Attributes:
-        epoch: The lease.
-        runs: The runs that are known to have started there. A start that got
-            no answer is not among them, and is answered by itself.
-    """
-
-    epoch: int
-    runs: tuple[Run, ...] = ()
-
-
-SideReport = Report | Ended | NotStarted | RunnerUnresponsive | RunnerLost
-"""What a side process tells its owner of its runner and of the runs there."""
-
-SideMessage = (
+LeaseMessage = (
     Register
     | Grant
     | Renew
@@ -312,5 +241,5 @@
     | Adopt
     | Stop
     | EndsAcknowledged
-    | SideReport
 )
+"""What is sent about leases and under them, except for reports."""
--- a/src/skylarkcleat/scheduling/owner.py
+++ b/src/skylarkcleat/scheduling/owner.py
@@ -14,6 +14,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import adoption as adoption_lib
@@ -242,7 +243,7 @@
         self._evacuations.update(zones)
 
     def handle_side_report(
-        self, side: str, message: leasing.SideReport, now: float
+        self, side: str, message: reporting.SideReport, now: float
     ) -> None:
         """Handles what a side process reports of its runner and its runs."""
         self._side_reports.receive(side, message, now)
--- a/src/skylarkcleat/scheduling/side_reports.py
+++ b/src/skylarkcleat/scheduling/side_reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.scheduling import adoption as adoption_lib
 from skylarkcleat.scheduling import owner_state
 from skylarkcleat.scheduling import run_endings as run_endings_lib
@@ -31,22 +31,22 @@
         self._run_endings = run_endings
 
     def receive(
-        self, side: str, message: leasing.SideReport, now: float
+        self, side: str, message: reporting.SideReport, now: float
     ) -> None:
         """Handles a report of a side process."""
-        if isinstance(message, leasing.Report):
+        if isinstance(message, reporting.Report):
             self._handle_report(side, message, now)
-        elif isinstance(message, leasing.Ended):
+        elif isinstance(message, reporting.Ended):
             self._handle_ended(side, message, now)
-        elif isinstance(message, leasing.NotStarted):
+        elif isinstance(message, reporting.NotStarted):
             self._handle_not_started(side, message, now)
-        elif isinstance(message, leasing.RunnerUnresponsive):
+        elif isinstance(message, reporting.RunnerUnresponsive):
             self._handle_runner_silent(side, message, now)
-        elif isinstance(message, leasing.RunnerLost):
+        elif isinstance(message, reporting.RunnerLost):
             self._handle_runner_lost(side, message, now)
 
     def _handle_report(
-        self, side: str, message: leasing.Report, now: float
+        self, side: str, message: reporting.Report, now: float
     ) -> None:
         """Handles a side process's full report of its runs and their ends."""
         worker = self._state.workers.find(side, message.epoch)
@@ -65,7 +65,7 @@
         self._state.jobs.needs_placement = True
 
     def _handle_ended(
-        self, side: str, message: leasing.Ended, now: float
+        self, side: str, message: reporting.Ended, now: float
     ) -> None:
         """Handles the ends of runs."""
         worker = self._state.workers.find(side, message.epoch)
@@ -73,7 +73,7 @@
             self._run_endings.record(worker, message.ends, now)
 
     def _handle_not_started(
-        self, side: str, message: leasing.NotStarted, now: float
+        self, side: str, message: reporting.NotStarted, now: float
     ) -> None:
         """Handles a run that did not start and never will."""
         worker = self._state.workers.find(side, message.epoch)
@@ -82,7 +82,7 @@
         placed = worker.runs.get(message.task)
         if placed is None or placed.run != message.run:
             return
-        if message.reason == leasing.UNANSWERED:
+        if message.reason == reporting.UNANSWERED:
             self._run_endings.record_lost(worker, placed, now, is_certain=False)
             return
         worker.remove(message.task, message.run)
@@ -98,7 +98,7 @@
             worker.record_refusal(message.reason, now)
 
     def _handle_runner_silent(
-        self, side: str, message: leasing.RunnerUnresponsive, now: float
+        self, side: str, message: reporting.RunnerUnresponsive, now: float
     ) -> None:
         """Records whether a runner responds; otherwise it gets no tasks."""
         worker = self._state.workers.find(side, message.epoch)
@@ -108,7 +108,7 @@
             self._state.jobs.needs_placement = True
 
     def _handle_runner_lost(
-        self, side: str, message: leasing.RunnerLost, now: float
+        self, side: str, message: reporting.RunnerLost, now: float
     ) -> None:
         """Requeues the tasks of an unresponsive runner; they have expired.
 
--- a/src/skylarkcleat/side/orders.py
+++ b/src/skylarkcleat/side/orders.py
@@ -10,6 +10,7 @@
 
 from skylarkcleat.platform import runner_client
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import local_run
 from skylarkcleat.side import probes as probes_lib
@@ -94,7 +95,7 @@
             "side:refused", task=order.task, run=order.run, reason=reason
         )
         self._state.send_owner(
-            leasing.NotStarted(order.epoch, order.task, order.run, reason)
+            reporting.NotStarted(order.epoch, order.task, order.run, reason)
         )
 
     async def _start(self, order: leasing.Start) -> None:
--- a/src/skylarkcleat/side/probes.py
+++ b/src/skylarkcleat/side/probes.py
@@ -9,7 +9,7 @@
 
 from skylarkcleat.platform import runner_body
 from skylarkcleat.platform import runner_client
-from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import probe_result
 from skylarkcleat.scheduling import runner_life
@@ -178,12 +178,14 @@
         if self._reported_epoch != epoch:
             self._reported_epoch = epoch
             running = self._state.run_table.list_running()
-            send_owner(leasing.Report(epoch, running, changes.ends))
+            send_owner(reporting.Report(epoch, running, changes.ends))
             return
         if changes.ends:
-            send_owner(leasing.Ended(epoch, changes.ends))
+            send_owner(reporting.Ended(epoch, changes.ends))
         for known in changes.missing:
-            send_owner(leasing.NotStarted(epoch, known.task, known.run, "gone"))
+            send_owner(
+                reporting.NotStarted(epoch, known.task, known.run, "gone")
+            )
 
     def _record_missed_probe(self) -> None:
         """Records that a probe got no answer.
@@ -214,7 +216,7 @@
             "side:runner-silent", epoch=epoch, is_silent=is_unresponsive
         )
         self._state.send_owner(
-            leasing.RunnerUnresponsive(epoch, is_unresponsive)
+            reporting.RunnerUnresponsive(epoch, is_unresponsive)
         )
 
     def _give_up_expired_runs(self) -> None:
@@ -242,6 +244,8 @@
         self._reported_epoch = epoch
         for run in lost.unanswered:
             state.send_owner(
-                leasing.NotStarted(epoch, run.task, run.run, leasing.UNANSWERED)
+                reporting.NotStarted(
+                    epoch, run.task, run.run, reporting.UNANSWERED
+                )
             )
-        state.send_owner(leasing.RunnerLost(epoch, lost.started))
+        state.send_owner(reporting.RunnerLost(epoch, lost.started))
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -14,6 +14,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import predecessor as predecessor_lib
@@ -254,7 +255,7 @@
         self.owner.workers[peer.name].open_at = now
         self._epochs[runner] = epoch
         self._ends[runner] = 0
-        report = leasing.Report(epoch, (), ())
+        report = reporting.Report(epoch, (), ())
         self.owner.handle_side_report(peer.name, report, now)
 
     def _renew(self, runner: int) -> t.Callable[[float], None]:
@@ -375,7 +376,7 @@
 
     def _fall_silent(self, runner: int) -> t.Callable[[float], None]:
         def act(now: float) -> None:
-            message = leasing.RunnerUnresponsive(self._epochs[runner], True)
+            message = reporting.RunnerUnresponsive(self._epochs[runner], True)
             self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
@@ -387,7 +388,7 @@
             runs = tuple(
                 leasing.Run(task, run, 1, 1, 0) for _, task, run in lost
             )
-            message = leasing.RunnerLost(self._epochs[runner], runs)
+            message = reporting.RunnerLost(self._epochs[runner], runs)
             self.owner.handle_side_report(f"side-{runner}", message, now)
 
         return act
@@ -412,7 +413,7 @@
             self._running.remove(key)
             self._ends[runner] += 1
             end = leasing.End(self._ends[runner], start.task, start.run, ending)
-            ended = leasing.Ended(start.epoch, (end,))
+            ended = reporting.Ended(start.epoch, (end,))
             self.owner.handle_side_report(f"side-{runner}", ended, now)
 
         return act
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -12,6 +12,7 @@
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
 from skylarkcleat.protocol import owning
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.wire import codec as codec_lib
 from skylarkcleat.wire import messages
@@ -34,7 +35,7 @@
     "Keep": leasing.Adopt(1, "task", 1),
     "Moved": owning.OwnershipMoved("10.0.0.1", 1),
     "Noted": leasing.EndsAcknowledged(1, 1),
-    "RunnerSilent": leasing.RunnerUnresponsive(1, True),
+    "RunnerSilent": reporting.RunnerUnresponsive(1, True),
     "Sides": owning.SideNames(1, ("side-1",)),
 }
 MESSAGE_TYPES = (*messages.MESSAGES, *platform_daemon.MESSAGES)
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -25,6 +25,7 @@
 from skylarkcleat.front import requests as requests_lib
 from skylarkcleat.platform import daemon
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import follower_leases
 from skylarkcleat.scheduling import lease
@@ -59,7 +60,7 @@
         SIDE, leasing.Register("side-1", "z", epoch, runner, now), now
     )
     owner.workers["side-1"].open_at = now
-    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), now)
+    owner.handle_side_report("side-1", reporting.Report(epoch, (), ()), now)
 
 
 def _submit(owner, now, request=1):
@@ -183,7 +184,7 @@
     _submit(owner, 0.1)
     start = _take(owner, leasing.Start)[0]
     end = leasing.End(1, start.task, start.run, leasing.Ending.DONE)
-    owner.handle_side_report("side-1", leasing.Ended(1, (end,)), 0.2)
+    owner.handle_side_report("side-1", reporting.Ended(1, (end,)), 0.2)
     _take(owner, scheduling.Reply)
     owner.renew(SIDE, leasing.Renew(1, 1.5, None), 1.5)
     _submit(owner, 1.5, request=2)
--- a/tests/test_ownership_variants.py
+++ b/tests/test_ownership_variants.py
@@ -6,7 +6,7 @@
 
 from skylarkcleat.discovery import election as election_lib
 from skylarkcleat.front import election_task as election_task_lib
-from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.scheduling import follower_leases as follower_leases_lib
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import owner as owner_lib
@@ -68,7 +68,7 @@
     if probes._missed_probes >= 2 and state.run_table.runs:
         runs = state.run_table.list_running()
         state.run_table.runs.clear()
-        state.send_owner(leasing.RunnerLost(state.lease.epoch, runs))
+        state.send_owner(reporting.RunnerLost(state.lease.epoch, runs))
 
 
 def _extend_runs_beyond_the_lease(patch):
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import crashes as crashes_lib
 from tests import scheduling_world as world_lib
@@ -174,7 +175,7 @@
     task = world.owner.jobs[job.id].tasks[0]
     epoch = world.owner.workers[task.side].epoch
     run = leasing.Run(task.name, task.run, 1000, 64, 0)
-    lost = leasing.RunnerLost(epoch, (run,))
+    lost = reporting.RunnerLost(epoch, (run,))
     world.owner.handle_side_report(task.side, lost, now)
     _place(world, now)
     messages = [outgoing.message for outgoing in world.owner.outbox.take()]
--- a/tests/test_scheduling_evacuations.py
+++ b/tests/test_scheduling_evacuations.py
@@ -10,6 +10,7 @@
 from skylarkcleat.configuration import evacuations
 from skylarkcleat.metrics import decisions
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import active_job
 from skylarkcleat.scheduling import cold_start
@@ -34,7 +35,7 @@
     runner = leasing.Runner(side, 1, "desk", 2000, 1024, 0, labels, False)
     peer = session_lib.Endpoint(side, 1)
     owner.register(peer, leasing.Register(side, zone, 1, runner, now), now)
-    owner.handle_side_report(side, leasing.Report(1, (), ()), now)
+    owner.handle_side_report(side, reporting.Report(1, (), ()), now)
     owner.workers[side].open_at = now
 
 
@@ -80,7 +81,7 @@
     worker = owner.workers["side-w"]
     placed = next(iter(worker.runs.values()))
     end = leasing.End(1, placed.task, placed.run, leasing.Ending.DONE)
-    owner.handle_side_report("side-w", leasing.Ended(1, (end,)), LATER)
+    owner.handle_side_report("side-w", reporting.Ended(1, (end,)), LATER)
     assert _place(owner)[0] == ["side-w"]
     assert len(owner.workers["side-e"].runs) == 2
 
--- a/tests/test_scheduling_owner.py
+++ b/tests/test_scheduling_owner.py
@@ -6,6 +6,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import job_queries
 from skylarkcleat.scheduling import job_table
@@ -58,7 +59,7 @@
 def _register(owner, side="side-1", runner=None, now=0.0, running=()):
     epoch = _request_lease(owner, side, now, runner)
     owner.handle_side_report(
-        side, leasing.Report(epoch, tuple(running), ()), now
+        side, reporting.Report(epoch, tuple(running), ()), now
     )
     return epoch
 
@@ -89,7 +90,7 @@
 
 def _end(epoch, start, ending=leasing.Ending.DONE, number=1):
     end = leasing.End(number, start.task, start.run, ending)
-    return leasing.Ended(epoch, (end,))
+    return reporting.Ended(epoch, (end,))
 
 
 class _SideStandIn:
@@ -232,7 +233,9 @@
     owner.tick(now)
     assert not _take_messages(owner, leasing.Start, now)
     running = (leasing.Run(TASK, 1, 1000, 64, 0),)
-    owner.handle_side_report("side-2", leasing.Report(other, running, ()), now)
+    owner.handle_side_report(
+        "side-2", reporting.Report(other, running, ()), now
+    )
     assert not _take_messages(owner, leasing.Start, now)
 
 
@@ -257,7 +260,7 @@
 def test_a_report_from_before_a_handover_does_not_count_after_it(owner):
     epoch = _register(owner)
     owner.extend(["side-1"], 1.0)
-    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), 1.0)
+    owner.handle_side_report("side-1", reporting.Report(epoch, (), ()), 1.0)
     assert not owner.is_settled(1.0)
     _register(owner, now=1.0)
     assert owner.is_settled(1.0)
@@ -285,7 +288,9 @@
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 10.0)
     epoch = _request_lease(owner, "side-1", 10.0)
     done = leasing.End(4, TASK, 1, leasing.Ending.DONE)
-    owner.handle_side_report("side-1", leasing.Report(epoch, (), (done,)), 10.1)
+    owner.handle_side_report(
+        "side-1", reporting.Report(epoch, (), (done,)), 10.1
+    )
     (reply,) = _take_messages(owner, scheduling.Reply)
     assert reply.verdict is scheduling.Verdict.COMPLETED
     assert not _take_messages(owner, leasing.Start, 10.1)
@@ -332,7 +337,7 @@
         owner.tick(now)
         for start in _take_messages(owner, leasing.Start, now):
             refused += 1
-            answer = leasing.NotStarted(epoch, start.task, start.run, reason)
+            answer = reporting.NotStarted(epoch, start.task, start.run, reason)
             owner.handle_side_report("side-1", answer, now)
     assert refused == 2
 
@@ -341,7 +346,7 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(tasks=2), QUEUE, 0.0)
     first, second = _take_messages(owner, leasing.Start, 0.0)
-    answer = leasing.NotStarted(epoch, second.task, second.run, "room")
+    answer = reporting.NotStarted(epoch, second.task, second.run, "room")
     owner.handle_side_report("side-1", answer, 0.01)
     assert not _take_messages(owner, leasing.Start, 0.01)
     owner.handle_side_report("side-1", _end(epoch, first), 0.02)
@@ -396,7 +401,7 @@
     epoch = _register(owner)
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, leasing.Start, 0.0)
-    refused = leasing.NotStarted(epoch, start.task, start.run, "old")
+    refused = reporting.NotStarted(epoch, start.task, start.run, "old")
     owner.handle_side_report("side-1", refused, 0.01)
     (again,) = _take_messages(owner, leasing.Start, 0.01)
     assert again.run > start.run + 1
@@ -452,24 +457,26 @@
     for ending in (leasing.Ending.LAPSED, leasing.Ending.STOPPED):
         end = leasing.End(4, TASK, start.run, ending)
         owner.handle_side_report(
-            "side-1", leasing.Report(epoch, (), (end,)), now
+            "side-1", reporting.Report(epoch, (), (end,)), now
         )
         assert not _take_messages(owner, leasing.Start, now)
     running = (leasing.Run(TASK, start.run, 1000, 64, 0),)
-    owner.handle_side_report("side-1", leasing.Report(epoch, running, ()), now)
-    owner.handle_side_report("side-1", leasing.Report(epoch, (), ()), now)
+    owner.handle_side_report(
+        "side-1", reporting.Report(epoch, running, ()), now
+    )
+    owner.handle_side_report("side-1", reporting.Report(epoch, (), ()), now)
     assert not _take_messages(owner, leasing.Start, now)
 
 
 def test_an_unresponsive_runner_gets_no_tasks_until_it_answers(owner):
     epoch = _register(owner)
     owner.handle_side_report(
-        "side-1", leasing.RunnerUnresponsive(epoch, True), 0.0
+        "side-1", reporting.RunnerUnresponsive(epoch, True), 0.0
     )
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     assert not _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report(
-        "side-1", leasing.RunnerUnresponsive(epoch, False), 0.1
+        "side-1", reporting.RunnerUnresponsive(epoch, False), 0.1
     )
     assert len(_take_messages(owner, leasing.Start, 0.1)) == 1
 
@@ -496,12 +503,12 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, leasing.Start, 0.0)
     owner.handle_side_report(
-        "side-1", leasing.RunnerUnresponsive(epoch, True), 0.0
+        "side-1", reporting.RunnerUnresponsive(epoch, True), 0.0
     )
     _register(owner, "side-2", _runner("i-2"), now=0.1)
     assert not _take_messages(owner, leasing.Start, 0.1)
     lost = leasing.Run(start.task, start.run, 1000, 64, 0)
-    message = leasing.RunnerLost(epoch, (lost,))
+    message = reporting.RunnerLost(epoch, (lost,))
     owner.handle_side_report("side-1", message, 0.2)
     (again,) = _take_messages(owner, leasing.Start, 0.2)
     assert again.task == start.task
@@ -514,9 +521,9 @@
     owner.submit(FRONT, _submit(), QUEUE, 0.0)
     (start,) = _take_messages(owner, leasing.Start, 0.0)
     _register(owner, "side-2", _runner("i-2"), now=0.1)
-    owner.handle_side_report("side-1", leasing.RunnerLost(epoch), 0.2)
+    owner.handle_side_report("side-1", reporting.RunnerLost(epoch), 0.2)
     assert not _take_messages(owner, leasing.Start, 0.2)
-    refusal = leasing.NotStarted(epoch, start.task, start.run, "silent")
+    refusal = reporting.NotStarted(epoch, start.task, start.run, "silent")
     owner.handle_side_report("side-1", refusal, 0.2)
     assert len(_take_messages(owner, leasing.Start, 0.2)) == 1
 
@@ -525,7 +532,7 @@
     owner = _create_successor(["side-1"], 10.0)
     epoch = _request_lease(owner, "side-1", 10.1)
     assert not owner.is_settled(10.2)
-    owner.handle_side_report("side-1", leasing.RunnerLost(epoch), 10.2)
+    owner.handle_side_report("side-1", reporting.RunnerLost(epoch), 10.2)
     assert owner.is_settled(10.2)
     owner.submit(FRONT, _submit(), QUEUE, 10.2)
     assert not _take_messages(owner, leasing.Start, 10.2)
@@ -611,17 +618,17 @@
     second = _request_lease(owner, "side-2", 0.0)
     owner.submit(FRONT, _submit(was_sent=True), QUEUE, 0.0)
     run = leasing.Run(TASK, 1, 1000, 64, 0)
-    owner.handle_side_report("side-1", leasing.Report(first, (run,), ()), 0.0)
+    owner.handle_side_report("side-1", reporting.Report(first, (run,), ()), 0.0)
     other = run._replace(run=2)
     owner.handle_side_report(
-        "side-2", leasing.Report(second, (other,), ()), 0.0
+        "side-2", reporting.Report(second, (other,), ()), 0.0
     )
     assert [stop.run for stop in _take_messages(owner, leasing.Stop)] == [2]
-    missing = leasing.NotStarted(first, TASK, 1, "gone")
+    missing = reporting.NotStarted(first, TASK, 1, "gone")
     owner.handle_side_report("side-1", missing, 0.1)
     assert not _take_messages(owner, leasing.Start, 0.1)
     stopped = leasing.End(1, TASK, 2, leasing.Ending.STOPPED)
-    owner.handle_side_report("side-2", leasing.Ended(second, (stopped,)), 0.2)
+    owner.handle_side_report("side-2", reporting.Ended(second, (stopped,)), 0.2)
     assert len(_take_messages(owner, leasing.Start, 0.2)) == 1
 
 
--- a/tests/test_scheduling_speed.py
+++ b/tests/test_scheduling_speed.py
@@ -4,6 +4,7 @@
 
 from skylarkcleat.configuration import content
 from skylarkcleat.protocol import leasing
+from skylarkcleat.protocol import reporting
 from skylarkcleat.protocol import scheduling
 from skylarkcleat.scheduling import owner as owner_lib
 from skylarkcleat.scheduling import placed_run
@@ -23,7 +24,7 @@
     )
     register = leasing.Register("side-1", "z", 1, runner, 0.0)
     owner.register(SIDE, register, 0.0)
-    owner.handle_side_report("side-1", leasing.Report(1, (), ()), 0.0)
+    owner.handle_side_report("side-1", reporting.Report(1, (), ()), 0.0)
     owner.workers["side-1"].open_at = 0.0
 
 
@@ -46,7 +47,7 @@
         leasing.End(number, start.task, start.run, leasing.Ending.DONE)
         for number, start in enumerate(starts, 1)
     )
-    owner.handle_side_report("side-1", leasing.Ended(1, ends), 0.1 * slower)
+    owner.handle_side_report("side-1", reporting.Ended(1, ends), 0.1 * slower)
     factor = owner.workers["side-1"].speed.find_factor(0.1 * slower)
     assert 0.6 * slower < factor < 1.4 * slower
 
--- a/tests/test_side_lives.py
+++ b/tests/test_side_lives.py
@@ -12,6 +12,7 @@
 from skylarkcleat.platform import settings as settings_lib
 from skylarkcleat.protocol import leasing
 from skylarkcleat.protocol import locating
+from skylarkcleat.protocol import reporting
 from skylarkcleat.scheduling import lease
 from skylarkcleat.scheduling import runner_life
 from skylarkcleat.side import process as side_process
@@ -130,7 +131,7 @@
     assert not beside.state.run_table.runs
     beside.grant()
     beside.probe(2 * FIRST_MS, 33)
-    (report,) = beside.hub.take(leasing.Report)
+    (report,) = beside.hub.take(reporting.Report)
     assert report.epoch > former
     assert report.running == ()
 
