Let two log lines share the time between lines

`LagMeter` and `WorkersLog` each compared the time since their last line with a constant, and `WorkersLog` did so for its counts too. `Interval` in skylarkcleat/interval.py does it for all three. No behaviour changes.

Not taken in: `LoadLog`, `ClosedLog` and `EvacuationLog` also keep intervals, the last one for each zone; they can follow. 29 tests of the two lines and of the metrics passed.

--- a/src/skylarkcleat/loop_lag.py
+++ b/src/skylarkcleat/loop_lag.py
@@ -4,6 +4,8 @@
 
 import eliot
 
+from skylarkcleat import interval
+
 WINDOW_S = 1.0
 """The shortest time between two lines."""
 
@@ -22,7 +24,7 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._begun_at = now
+        self._window = interval.Interval(WINDOW_S, now)
         self._late_s = 0.0
         self._is_lagging = False
 
@@ -34,7 +36,7 @@
             now: The time, in seconds.
         """
         self._late_s = max(self._late_s, late_s)
-        if now - self._begun_at < WINDOW_S:
+        if not self._window.is_over(now):
             return
         is_lagging = self._late_s >= LOGGED_S
         if is_lagging or self._is_lagging:
@@ -42,4 +44,4 @@
             eliot.log_message(LAG, late_ms=late_ms)
         self._is_lagging = is_lagging
         self._late_s = 0.0
-        self._begun_at = now
+        self._window.restart(now)
--- a/src/skylarkcleat/scheduling/workers_log.py
+++ b/src/skylarkcleat/scheduling/workers_log.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from skylarkcleat import interval
 from skylarkcleat.scheduling import worker_phase
 
 INTERVAL_S = 0.5
@@ -27,24 +28,24 @@
 
     def __init__(self, now: float) -> None:
         self._logged: collections.Counter[worker_phase.Closed] | None = None
-        self._logged_at = now - INTERVAL_S
-        self._checked_at = now - CHECK_INTERVAL_S
+        self._line = interval.Interval(INTERVAL_S, now - INTERVAL_S)
+        self._check = interval.Interval(
+            CHECK_INTERVAL_S, now - CHECK_INTERVAL_S
+        )
 
     def is_due(self, now: float) -> bool:
         """Returns whether to count the side processes, for a line."""
-        if now - self._checked_at < CHECK_INTERVAL_S:
-            return False
-        return now - self._logged_at >= INTERVAL_S
+        return self._check.is_over(now) and self._line.is_over(now)
 
     def record(
         self, obstacles: collections.Counter[worker_phase.Closed], now: float
     ) -> None:
         """Records how many side processes there are with each obstacle."""
-        self._checked_at = now
-        if obstacles == self._logged or now - self._logged_at < INTERVAL_S:
+        self._check.restart(now)
+        if obstacles == self._logged or not self._line.is_over(now):
             return
         self._logged = obstacles
-        self._logged_at = now
+        self._line.restart(now)
         closed = {
             obstacle.value: count
             for obstacle, count in sorted(obstacles.items())
