Find the queue of a submission by one rule

The intake took the time limit of a job below the path of a queue from that queue, although the owner refuses such a job as of an unknown queue; of a job that had been accepted in another queue, it took the wrong one. The owner, the intake and the front's submissions each had the rule written out.

`ConfigurationCache.find_submission_queue` is the rule of the owner: the queue whose own path it is, or else the one that the job was accepted in. Both call it. The front uses `find_queue`, the part without the latter.

What changes: while the intake is congested, a job below the path of a queue counts as late at once, as a job of an unknown queue already did; its caller reads 503 in place of 404. The new test failed before for both kinds of such jobs and passed for the others.

--- a/src/skylarkcleat/front/configuration_cache.py
+++ b/src/skylarkcleat/front/configuration_cache.py
@@ -14,6 +14,7 @@
 from skylarkcleat.front import evacuation_cache
 from skylarkcleat.front import latest_version
 from skylarkcleat.protocol import locating
+from skylarkcleat.protocol import scheduling
 
 
 class ConfigurationCache:
@@ -64,6 +65,20 @@
         self._refresh()
         return self._index.find(host, path)
 
+    def find_queue(self, host: str, path: str) -> content.Queue | None:
+        """Returns the queue whose own path it is, not one below; or None."""
+        match = self.find(host, path)
+        return match.queue if match and not match.rest else None
+
+    def find_submission_queue(
+        self, message: scheduling.Submit
+    ) -> content.Queue | None:
+        """Returns the queue of a submission; None if it has none.
+
+        A job that was accepted before its queue was removed goes on there.
+        """
+        return self.find_queue(message.host, message.path) or message.queue
+
     def update(self, configuration: content.Configuration) -> None:
         """Replaces the configuration in force if the given one is newer."""
         if configuration.version > self._current.version:
--- a/src/skylarkcleat/front/job_requests.py
+++ b/src/skylarkcleat/front/job_requests.py
@@ -22,8 +22,8 @@
 QUERY_TIMEOUT_S = 1.0
 
 
-FindQueue = t.Callable[[str, str], content.Match | None]
-"""Returns the queue that a host and a path belong to."""
+FindQueue = t.Callable[[str, str], content.Queue | None]
+"""Returns the queue of a host and a path."""
 
 
 async def submit(
@@ -35,13 +35,12 @@
     caller_timeout_ms: int,
 ) -> scheduling.Reply:
     """Submits a job and returns a reply once it has ended or is refused."""
-    match: content.Match | None = None
+    first_queue: content.Queue | None = None
 
     def build(attempt: target_lib.SendAttempt) -> scheduling.Submit:
-        nonlocal match
+        nonlocal first_queue
         if not attempt.previous_term:
-            match = find_queue(host, path)
-        first_queue = match.queue if match and not match.rest else None
+            first_queue = find_queue(host, path)
         return scheduling.Submit(
             attempt.number,
             host,
--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -204,11 +204,10 @@
             verdict = scheduling.Verdict.NOT_RUN
             self._reply(peer, message.request, verdict, "no configuration")
             return
-        match = self._configuration_cache.find(message.host, message.path)
-        queue = match.queue if match and not match.rest else None
         if isinstance(message, scheduling.Submit):
-            self._handle_submission(peer, message, queue)
+            self._handle_submission(peer, message)
             return
+        queue = self._configuration_cache.find_queue(message.host, message.path)
         # A job precedes what is asked about it.
         pending = self._intake.take_job(message.job)
         if pending is not None:
@@ -221,17 +220,11 @@
             self._count_waiting(peer, message.request, queue)
 
     def _handle_submission(
-        self,
-        peer: session_lib.Endpoint,
-        message: scheduling.Submit,
-        queue: content.Queue | None,
+        self, peer: session_lib.Endpoint, message: scheduling.Submit
     ) -> None:
-        """Accepts a job, or adds its caller to a job that is known already.
-
-        A job that was accepted before its queue was removed goes on there.
-        """
+        """Accepts a job, or adds its caller to a job that is known already."""
         now = clock_lib.read_monotonic()
-        queue = queue or message.queue
+        queue = self._configuration_cache.find_submission_queue(message)
         if queue is None:
             if not self._owner.resume(peer, message, now):
                 self._refuse_unknown_queue(peer, message.request)
--- a/src/skylarkcleat/front/process.py
+++ b/src/skylarkcleat/front/process.py
@@ -204,7 +204,7 @@
             return scheduling.Reply(0, verdict, "this front is stopping")
         return await job_requests_lib.submit(
             self._job_requests,
-            self._configuration_cache.find,
+            self._configuration_cache.find_queue,
             host,
             path,
             job,
--- a/src/skylarkcleat/front/submission_intake.py
+++ b/src/skylarkcleat/front/submission_intake.py
@@ -47,8 +47,7 @@
     ) -> None:
         """Adds a submission that has just been received."""
         now = clock_lib.read_monotonic()
-        match = self._configuration_cache.find(message.host, message.path)
-        queue = match.queue if match else message.queue
+        queue = self._configuration_cache.find_submission_queue(message)
         self._intake.add(intake_lib.create_pending(peer, message, queue, now))
 
     def take_up(self, until: float, handle: Handle) -> None:
--- a/tests/test_front_ownership.py
+++ b/tests/test_front_ownership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from skylarkcleat import clock as clock_lib
@@ -9,6 +11,7 @@
 from skylarkcleat.front import configuration_cache as configuration_cache_lib
 from skylarkcleat.front import ownership as ownership_lib
 from skylarkcleat.protocol import scheduling
+from skylarkcleat.scheduling import intake as intake_lib
 from skylarkcleat.scheduling import job_queries
 from skylarkcleat.scheduling import predecessor
 from skylarkcleat.wire import session as session_lib
@@ -50,6 +53,39 @@
     ownership.receive(FRONT, message)
 
 
+@pytest.fixture
+def found_queues(ownership, monkeypatch):
+    """The queues that the intake and the owner find, as two lists."""
+    deferred, taken_up = [], []
+    create = intake_lib.create_pending
+
+    def create_pending(peer, message, queue, now):
+        deferred.append(queue)
+        return create(peer, message, queue, now)
+
+    monkeypatch.setattr(intake_lib, "create_pending", create_pending)
+    owner = ownership._owner
+    monkeypatch.setattr(owner, "submit", lambda *a: taken_up.append(a[2]))
+    monkeypatch.setattr(owner, "resume", lambda *_: taken_up.append(None))
+    return deferred, taken_up
+
+
+# The intake took the time limit of a job below the path of a queue from that
+# queue, or not from the one that the job had been accepted in.
+@pytest.mark.parametrize("accepted_in", [None, QUEUE._replace(name="former")])
+@pytest.mark.parametrize("path", ["/p/", "/p/below", "/gone/"])
+def test_a_submission_finds_the_same_queue_in_the_intake_and_the_owner(
+    ownership, found_queues, path, accepted_in
+):
+    message = scheduling.Submit(
+        1, "h", path, JOB, 0, 5000, TERM, 3, queue=accepted_in
+    )
+    ownership.defer(FRONT, message)
+    ownership.take_up(math.inf)
+    expected = QUEUE if path == "/p/" else accepted_in
+    assert found_queues == ([expected], [expected])
+
+
 def list_verdicts(sent):
     return [m.verdict for m in sent if isinstance(m, scheduling.Reply)]
 
