Don't refuse a late submission of a job that the owner knows

While the intake is congested, a submission that is too late was answered "not run" by what its own front knew. If its caller had sent the same job to another front before, the job might be running or have ended: the refusal was untrue. Found by reading, in the split of the intake. Such a submission is taken up, which adds its caller to the job. The new test failed before.

--- a/src/skylarkcleat/front/ownership.py
+++ b/src/skylarkcleat/front/ownership.py
@@ -153,7 +153,7 @@
 
     def take_up(self, until: float) -> None:
         """Takes up submissions that wait, until a time in seconds."""
-        self._intake.take_up(until, self._handle_request)
+        self._intake.take_up(until, self._handle_request, self._knows)
 
     def receive(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         """Handles a message for the owner; refuses it without one."""
@@ -193,6 +193,11 @@
             self._owner.tick(clock_lib.read_monotonic())
             self.place_and_send()
 
+    def _knows(self, job: str) -> bool:
+        now = clock_lib.read_monotonic()
+        verdict = self._owner.find_verdict(job, now)
+        return verdict is not scheduling.Verdict.UNKNOWN_JOB
+
     def _refuse(self, peer: session_lib.Endpoint, message: t.Any) -> None:
         if isinstance(message, scheduling.Submit | scheduling.JobRequest):
             verdict = scheduling.Verdict.NOT_OWNER
--- a/src/skylarkcleat/front/submission_intake.py
+++ b/src/skylarkcleat/front/submission_intake.py
@@ -50,17 +50,27 @@
         queue = self._configuration_cache.find_submission_queue(message)
         self._intake.add(intake_lib.create_pending(peer, message, queue, now))
 
-    def take_up(self, until: float, handle: Handle) -> None:
+    def take_up(
+        self,
+        until: float,
+        handle: Handle,
+        is_known: collections.abc.Callable[[str], bool],
+    ) -> None:
         """Hands submissions on, and refuses those that are late.
 
         Args:
             until: The time from when on other messages come first, in seconds.
             handle: Takes up a submission.
+            is_known: Whether the owner knows a job. It is not refused, as it
+                may have run for a caller at another front.
         """
         now = clock_lib.read_monotonic()
         wait_s = self._intake.find_wait_s(now)
         for late in self._intake.take_late(now):
-            self._refuse(late, wait_s, now)
+            if is_known(late.message.job.id):
+                handle(late.peer, late.message)
+            else:
+                self._refuse(late, wait_s, now)
         while now < until:
             pending = self._intake.take(now)
             if pending is None:
--- a/tests/test_front_ownership.py
+++ b/tests/test_front_ownership.py
@@ -116,6 +116,23 @@
     assert list_verdicts(sent) == []
 
 
+# A caller that sent a running job to another front was told that it had not
+# run, if the owner had no time for it.
+@pytest.mark.parametrize("is_known", [True, False])
+def test_a_job_that_is_known_is_not_refused_as_late(
+    ownership, sent, monkeypatch, is_known
+):
+    if is_known:
+        submit(ownership, 1)
+    message = scheduling.Submit(2, "h", "/p/", JOB, 0, 5000, TERM, 0)
+    ownership.defer(FRONT, message)
+    now = clock_lib.read_monotonic() + 1.0
+    monkeypatch.setattr(clock_lib, "read_monotonic", lambda: now)
+    ownership.take_up(now)
+    refused = [] if is_known else [scheduling.Verdict.NOT_RUN]
+    assert list_verdicts(sent) == refused
+
+
 def ask(ownership, request, job=JOB.id, cancel=False, path="/p/"):
     message = scheduling.JobRequest(request, "h", path, job, cancel, TERM)
     ownership.receive(FRONT, message)
