Wait for a front before the test sends it a configuration

Its log has no line, and the core's identities were there 0.80 s after all four processes had been created: the fourth was still loading its modules. The test waited for the core alone, while an operator would go to another front. It now waits until that front takes connections, within the same time limit, so that the check is as strict.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -320,6 +320,16 @@
         await self.put(0, 1)
         await self.wait_served()
 
+    async def wait_listening(self, front: int) -> None:
+        """Waits until a front that has just begun to start can be called."""
+        end = time.monotonic() + START_TIMEOUT_S
+        while True:
+            with contextlib.suppress(aiohttp.ClientConnectorError):
+                await self.read(front)
+                return
+            assert time.monotonic() < end, "the front can't be called"
+            await asyncio.sleep(_POLL_S)
+
     async def wait_ready(self) -> None:
         end = time.monotonic() + START_TIMEOUT_S
         for number in range(len(self.fleet.fronts)):
--- a/tests/test_platform_membership.py
+++ b/tests/test_platform_membership.py
@@ -123,6 +123,8 @@
                 fleet.forbid_bootstrap(front)
                 front.start()
             async with asyncio.timeout(RECOVER_S):
+                # The front without a disk may start later than the core.
+                await client.wait_listening(3)
                 status, _ = await client.put(3, 1)
                 assert status == 200
                 await _wait_read(client)
