Review: show that kills beside the core keep the log from being founded

Cause: the initial replicas need the promises of a majority of the first seeds. Seeds without a disk keep theirs in memory, and promise nothing once they have started again.

--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -197,13 +197,20 @@
         runners: Their runners.
     """
 
-    def __init__(self, case: pathlib.Path, sides: int, cpu: int) -> None:
+    def __init__(
+        self,
+        case: pathlib.Path,
+        sides: int,
+        cpu: int,
+        seeds: tuple[int, ...] = (0, 1, 2),
+    ) -> None:
         self.fronts: list[Process] = []
         self.sides: list[Process] = []
         self.runners: list[runner_lib.Runner] = []
         self._case = case
         self._side_count = sides
         self._cpu = cpu
+        self._seeds = seeds
         self._begun_at = time.monotonic()
         self._record_file: t.TextIO
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -294,7 +301,7 @@
 
     def _describe(self, ip: str, kind: str, number: int, has_disk: bool) -> str:
         zone = ZONES[number % 3]
-        seeds = [f"{self._ip(11 + n)}:{self._port + 17}" for n in range(3)]
+        seeds = [f"{self._ip(11 + n)}:{self._port + 17}" for n in self._seeds]
         serves = '["front","control"]' if kind == "front" else '["side"]'
         return (
             f'node = "{kind}-{zone}-{number // 3 + 1}"\nrole = "{kind}"\n'
@@ -391,12 +398,16 @@
         for front in self.fronts:
             await self.wait_served(front)
 
-    async def put(self, routes: t.Sequence[Route]) -> None:
+    async def put(
+        self,
+        routes: t.Sequence[Route],
+        patience_s: float = SERVED_TIMEOUT_S,
+    ) -> None:
         """Sends a manifest, to one front after the other, until its ack."""
         self._manifests += 1
         body = _create_manifest(self._manifests, routes)
-        end = time.monotonic() + SERVED_TIMEOUT_S
-        for front in itertools.cycle(self.fronts[:3]):
+        end = time.monotonic() + patience_s
+        for front in itertools.cycle(self.fronts):
             url = f"http://{front.ip}:{self._port + 17}/api/config/put"
             answer = await self.call("POST", url, body, timeout_s=1.5)
             self.record(
@@ -467,6 +478,8 @@
     act: t.Callable[[Fleet], t.Awaitable[str]],
     sides: int = 3,
     cpu: int = 64_000,
+    seeds: tuple[int, ...] = (0, 1, 2),
+    is_configured: bool = True,
 ) -> int:
     """Plays a case; returns its exit status.
 
@@ -475,14 +488,17 @@
         act: Plays it; returns how the rule was broken, empty if it held.
         sides: The number of side processes.
         cpu: The capacity of each runner, in thousandths of a core.
+        seeds: The numbers of the fronts that the settings name as seeds.
+        is_configured: Whether jobs are served before the case begins.
     """
 
     async def play() -> int:
         async with contextlib.AsyncExitStack() as stack:
-            fleet = Fleet(case, sides, cpu)
+            fleet = Fleet(case, sides, cpu, seeds)
             await fleet.open(stack)
             try:
-                await fleet.configure()
+                if is_configured:
+                    await fleet.configure()
                 found = await act(fleet)
             except CannotRunError as error:
                 fleet.record(f"the case can't run: {error}")
